--- a/crates/mimosa-config/src/control.rs
+++ b/crates/mimosa-config/src/control.rs
@@ -1,5 +1,6 @@
 //! The control role.
 
+use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -32,12 +33,77 @@
     pub replicas: Vec<Replica>,
     /// Who may change things.
     pub operators: Vec<Operator>,
+    /// Gateways instead of entries, and control instances that find each other; `None` if every
+    /// control instance is listed.
+    pub routing: Option<ControlRouting>,
     /// Time between two heartbeats to an entry.
     pub heartbeat: Duration,
     /// Time that entries honour keys without a proof of freshness, as their settings say.
     pub key_lease: Duration,
 }
 
+/// Control of gateways, by instances that are named by their IP addresses.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ControlRouting {
+    /// Control instances that may know the others.
+    pub seeds: Vec<IpAddr>,
+    /// Whether the system starts for the first time: the seeds then found it together.
+    pub found: bool,
+    /// Where the list of endpoints is read.
+    pub endpoint_list: SocketAddr,
+    /// Time between two reads of the list.
+    pub list_interval: Duration,
+}
+
+impl ControlRouting {
+    fn read(mut reader: Reader<'_, '_>, faults: &mut Faults) -> Self {
+        let default = Self::default();
+        let settings = Self {
+            seeds: reader
+                .list::<SeedAddress>("seeds", faults)
+                .into_iter()
+                .map(|seed| seed.0)
+                .collect(),
+            found: reader.or("found", default.found, faults),
+            endpoint_list: reader.or("endpoint_list", default.endpoint_list, faults),
+            list_interval: reader.duration("list_interval", default.list_interval, faults),
+        };
+        if settings.seeds.is_empty() {
+            let help = "list the addresses of some control instances";
+            faults.add(reader.span("seeds"), "there are no seeds", help);
+        }
+        reader.finish(faults);
+        settings
+    }
+}
+
+impl Default for ControlRouting {
+    fn default() -> Self {
+        Self {
+            seeds: Vec::new(),
+            found: false,
+            endpoint_list: SocketAddr::from((Ipv4Addr::LOCALHOST, 8361)),
+            // An endpoint that leaves must get no new work a few seconds after the list shows it.
+            list_interval: Duration::from_secs(1),
+        }
+    }
+}
+
+/// A seed, with or without a port; the port does not count.
+pub(crate) struct SeedAddress(pub(crate) IpAddr);
+
+impl FromStr for SeedAddress {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let with_port = text.parse().map(|address: SocketAddr| address.ip());
+        with_port
+            .or_else(|_| text.parse())
+            .map(Self)
+            .map_err(|_| "write an IP address, with or without a port")
+    }
+}
+
 /// A control instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Replica {
@@ -66,6 +132,7 @@
             peer_listen: localhost(7302),
             replicas: Vec::new(),
             operators: Vec::new(),
+            routing: None,
             heartbeat: Duration::from_millis(250),
             key_lease: Duration::from_secs(4),
         }
@@ -91,6 +158,9 @@
                 .into_iter()
                 .filter_map(|reader| Operator::read(reader, faults))
                 .collect(),
+            routing: reader
+                .table("routing", faults)
+                .map(|reader| ControlRouting::read(reader, faults)),
             heartbeat: reader.duration("heartbeat", default.heartbeat, faults),
             key_lease: reader.duration("key_lease", default.key_lease, faults),
         };
@@ -104,7 +174,7 @@
             let help = "list 3 or 5; 9 is the most";
             faults.add(reader.span("replicas"), "too many control instances", help);
         }
-        if self.operators.is_empty() {
+        if self.operators.is_empty() && self.routing.is_none() {
             let help = "add [[control.operators]] with id and key_digest";
             faults.add(
                 reader.span("operators"),
--- a/crates/mimosa-config/src/lib.rs
+++ b/crates/mimosa-config/src/lib.rs
@@ -3,12 +3,15 @@
 
 mod control;
 mod entry;
+mod gateway;
 mod instance;
 mod logging;
 mod reader;
+mod runtime;
 mod settings;
 mod value;
 
+pub use crate::control::ControlRouting;
 pub use crate::control::ControlSettings;
 pub use crate::control::Operator;
 pub use crate::control::Replica;
@@ -16,8 +19,10 @@
 pub use crate::entry::EntrySettings;
 pub use crate::entry::MembershipTimes;
 pub use crate::entry::Peer;
+pub use crate::gateway::GatewaySettings;
 pub use crate::instance::InstanceSettings;
 pub use crate::logging::LogLevel;
 pub use crate::logging::LogSettings;
+pub use crate::runtime::RuntimeSettings;
 pub use crate::settings::Settings;
 pub use crate::value::DurationText;
--- a/crates/mimosa-config/src/settings.rs
+++ b/crates/mimosa-config/src/settings.rs
@@ -9,22 +9,28 @@
 
 use crate::control::ControlSettings;
 use crate::entry::EntrySettings;
+use crate::gateway::GatewaySettings;
 use crate::instance::InstanceSettings;
 use crate::logging::LogSettings;
 use crate::reader::Faults;
 use crate::reader::Reader;
+use crate::runtime::RuntimeSettings;
 
-/// A whole settings file. It holds `[entry]`, `[control]` or both.
+/// A whole settings file. It holds `[entry]`, `[control]`, `[gateway]` or several.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Who the process is.
     pub instance: InstanceSettings,
+    /// How it uses the machine.
+    pub runtime: RuntimeSettings,
     /// What it logs.
     pub log: LogSettings,
     /// The entry role.
     pub entry: Option<EntrySettings>,
     /// The control role.
     pub control: Option<ControlSettings>,
+    /// The gateway role.
+    pub gateway: Option<GatewaySettings>,
 }
 
 impl Settings {
@@ -85,6 +91,9 @@
             None
         }
     };
+    let runtime = root
+        .table("runtime", faults)
+        .map(|reader| RuntimeSettings::read(reader, faults));
     let log = root
         .table("log", faults)
         .map(|reader| LogSettings::read(reader, faults));
@@ -94,14 +103,20 @@
     let control = root
         .table("control", faults)
         .map(|reader| ControlSettings::read(reader, faults));
-    if entry.is_none() && control.is_none() {
-        faults.add(0..0, "the file names no role", "add [entry] or [control]");
+    let gateway = root
+        .table("gateway", faults)
+        .map(|reader| GatewaySettings::read(reader, faults));
+    if entry.is_none() && control.is_none() && gateway.is_none() {
+        let help = "add [entry], [control] or [gateway]";
+        faults.add(0..0, "the file names no role", help);
     }
     root.finish(faults);
     Some(Settings {
         instance: instance?,
+        runtime: runtime.unwrap_or_default(),
         log: log.unwrap_or_default(),
         entry,
         control: control.flatten(),
+        gateway,
     })
 }
--- a/crates/mimosa-consensus/src/event.rs
+++ b/crates/mimosa-consensus/src/event.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use mimosa_protocol::InstanceId;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::data;
 
@@ -59,6 +60,8 @@
         },
         /// Hands the leadership on, before a shutdown.
         TransferLeadership,
+        /// More instances that a leader admits and that this replica asks for admission.
+        MorePeers(Vec<InstanceId>),
     }
 
     /// What the driver has to do, in this order.
--- a/crates/mimosa-control/src/admin.rs
+++ b/crates/mimosa-control/src/admin.rs
@@ -43,20 +43,20 @@
     pub in_force: Arc<InForce>,
 }
 
-impl Admin {
-    /// Serves until the stop signal, then finishes requests in hand.
-    pub async fn serve(self, listener: TcpListener, mut stopped: watch::Receiver<bool>) {
-        let stop = async move {
-            stopped.wait_for(|stopped| *stopped).await.ok();
-        };
-        let served = axum::serve(listener, self.router())
-            .with_graceful_shutdown(stop)
-            .await;
-        if let Err(e) = served {
-            warn!("the admin HTTP ended: {e}");
-        }
+/// Serves operators until the stop signal, then finishes requests in hand.
+pub async fn serve(router: Router, listener: TcpListener, mut stopped: watch::Receiver<bool>) {
+    let stop = async move {
+        stopped.wait_for(|stopped| *stopped).await.ok();
+    };
+    let served = axum::serve(listener, router)
+        .with_graceful_shutdown(stop)
+        .await;
+    if let Err(e) = served {
+        warn!("the admin HTTP ended: {e}");
     }
+}
 
+impl Admin {
     /// The routes.
     pub fn router(self) -> Router {
         let known = Router::new()
--- a/crates/mimosa-control/src/lib.rs
+++ b/crates/mimosa-control/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod in_force;
 pub mod peer;
 pub mod replicator;
+pub mod routing;
 pub mod server;
 pub mod settings;
 pub mod shared;
--- a/crates/mimosa-control/src/peer.rs
+++ b/crates/mimosa-control/src/peer.rs
@@ -12,6 +12,7 @@
 
 use crate::in_force::EntryReport;
 
+pub mod discovery;
 pub mod founding;
 pub mod gossip;
 pub mod inbound;
@@ -59,6 +60,10 @@
         AskFounded,
         /// Answers [`PeerMessage::AskFounded`].
         Founded(bool),
+        /// Asks for the control instances that the receiver knows.
+        AskMembers,
+        /// Answers [`PeerMessage::AskMembers`].
+        Members(Vec<InstanceId>),
         /// What the sender hears from its entries.
         InForce(Vec<(InstanceId, EntryReport)>),
     }
--- a/crates/mimosa-control/src/peer/inbound.rs
+++ b/crates/mimosa-control/src/peer/inbound.rs
@@ -39,8 +39,10 @@
 pub struct Inbound {
     /// The name of the system.
     pub cluster: String,
-    /// The other instances that may connect.
+    /// The other instances that may connect; with none, every instance of the system may.
     pub peers: Arc<BTreeMap<InstanceId, SocketAddr>>,
+    /// Takes the names of instances that connect and are not known yet.
+    pub discovered: Option<tokio::sync::mpsc::UnboundedSender<InstanceId>>,
     /// The driving thread.
     pub core: mpsc::Sender<Input>,
     /// How this instance stands.
@@ -75,10 +77,14 @@
         let Some(PeerMessage::Hello { cluster, instance }) = hello? else {
             return Ok(());
         };
-        if cluster != self.cluster || !self.peers.contains_key(&instance) {
+        let is_known = self.discovered.is_some() || self.peers.contains_key(&instance);
+        if cluster != self.cluster || !is_known {
             warn!("'{instance}' of system '{cluster}' is no configured control instance");
             return Ok(());
         }
+        if let Some(discovered) = &self.discovered {
+            discovered.send(instance.clone()).ok();
+        }
         let mut calls = JoinSet::new();
         while let Some(message) = frame::read(stream).await? {
             while calls.try_join_next().is_some() {}
@@ -100,6 +106,19 @@
                     let is_founded = !self.status.get().voters.is_empty();
                     frame::write(stream, &PeerMessage::Founded(is_founded)).await?;
                 }
+                PeerMessage::AskMembers => {
+                    let status = self.status.get();
+                    let members = status.voters.iter().chain(&status.learners);
+                    let members = members.filter_map(|name| name.parse().ok()).collect();
+                    self.outbound.send(&instance, PeerMessage::Members(members));
+                }
+                PeerMessage::Members(members) => {
+                    if let Some(discovered) = &self.discovered {
+                        for member in members {
+                            discovered.send(member).ok();
+                        }
+                    }
+                }
                 PeerMessage::Hello { .. } | PeerMessage::Founded(_) => return Ok(()),
             }
         }
--- a/crates/mimosa-control/src/peer/outbound.rs
+++ b/crates/mimosa-control/src/peer/outbound.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::PoisonError;
+use std::sync::RwLock;
 use std::time::Duration;
 
 use log::debug;
@@ -25,7 +27,8 @@
 
 /// The queues to the other instances.
 pub struct Outbound {
-    queues: BTreeMap<InstanceId, mpsc::Sender<PeerMessage>>,
+    hello: PeerMessage,
+    queues: RwLock<BTreeMap<InstanceId, mpsc::Sender<PeerMessage>>>,
 }
 
 /// One connection to keep open.
@@ -42,33 +45,46 @@
         hello: &PeerMessage,
         peers: impl IntoIterator<Item = (InstanceId, SocketAddr)>,
     ) -> (Self, Vec<Link>) {
-        let (queues, links) = peers
+        let outbound = Self {
+            hello: hello.clone(),
+            queues: RwLock::default(),
+        };
+        let links = peers
             .into_iter()
-            .map(|(peer, address)| {
-                let (tx, queue) = mpsc::channel(QUEUED_MESSAGES);
-                let link = Link {
-                    peer: peer.clone(),
-                    address,
-                    hello: hello.clone(),
-                    queue,
-                };
-                ((peer, tx), link)
-            })
-            .unzip();
-        (Self { queues }, links)
+            .filter_map(|(peer, address)| outbound.add(peer, address))
+            .collect();
+        (outbound, links)
+    }
+
+    /// Prepares a connection to one more instance; nothing if it is known already.
+    pub fn add(&self, peer: InstanceId, address: SocketAddr) -> Option<Link> {
+        let mut queues = self.queues.write().unwrap_or_else(PoisonError::into_inner);
+        if queues.contains_key(&peer) {
+            return None;
+        }
+        let (tx, queue) = mpsc::channel(QUEUED_MESSAGES);
+        queues.insert(peer.clone(), tx);
+        Some(Link {
+            peer,
+            address,
+            hello: self.hello.clone(),
+            queue,
+        })
     }
 
     /// Queues a message. Returns whether there is such a peer with room in its queue; the message
     /// may still be lost.
     pub fn send(&self, to: &InstanceId, message: PeerMessage) -> bool {
-        self.queues
+        let queues = self.queues.read().unwrap_or_else(PoisonError::into_inner);
+        queues
             .get(to)
             .is_some_and(|queue| queue.try_send(message).is_ok())
     }
 
     /// Queues a message for every peer.
     pub fn send_all(&self, message: &PeerMessage) {
-        self.queues.values().for_each(|queue| {
+        let queues = self.queues.read().unwrap_or_else(PoisonError::into_inner);
+        queues.values().for_each(|queue| {
             queue.try_send(message.clone()).ok();
         });
     }
@@ -97,7 +113,7 @@
 
     /// Writes until the connection breaks; `None` once the queue is closed.
     async fn write(&mut self, mut stream: TcpStream) -> Option<()> {
-        stream.set_nodelay(true).ok();
+        mimosa_transport::socket::prepare(&stream);
         let hello = self.hello.clone();
         let mut next = Some(hello);
         loop {
--- a/crates/mimosa-control/src/replicator/replicated/core.rs
+++ b/crates/mimosa-control/src/replicator/replicated/core.rs
@@ -239,6 +239,7 @@
                 self.waiters.until_applied(index, reply);
                 self.waiters.applied_up_to(self.applied);
             }
+            Input::MorePeers(peers) => self.handle(Event::MorePeers(peers)),
             Input::Transfer => self.handle(Event::TransferLeadership),
             Input::Stop => {}
         }
--- a/crates/mimosa-control/src/replicator/replicated/disk.rs
+++ b/crates/mimosa-control/src/replicator/replicated/disk.rs
@@ -7,7 +7,6 @@
 use mimosa_consensus::Membership;
 use mimosa_consensus::ReplicaId;
 use mimosa_protocol::Error;
-use mimosa_protocol::Incarnation;
 use mimosa_protocol::Result;
 use mimosa_storage::ClusterId;
 use mimosa_storage::FileStore;
@@ -15,6 +14,7 @@
 use mimosa_storage::replica;
 
 use crate::clock;
+use crate::settings::FOUNDERS_LIFE;
 use crate::settings::Settings;
 
 /// An open disk and what stands on it.
@@ -37,14 +37,14 @@
     let store_settings = mimosa_storage::Settings {
         cluster: cluster_id(&settings.cluster),
         instance: settings.instance.clone(),
-        new_incarnation: Incarnation(clock::now().as_micros()),
+        new_incarnation: settings.new_incarnation(clock::now()),
         ..mimosa_storage::Settings::default()
     };
     let mut store = FileStore::open(&settings.data_folder, store_settings)?;
     let id = replica::replica_id(&store);
     if settings.founds() {
-        let founder = Membership::of_voters(BTreeSet::from([id.clone()]));
-        if replica::found(&mut store, founder)? {
+        let founders = founders(settings, &id);
+        if replica::found(&mut store, founders)? {
             info!("{id} founds the cluster {}", settings.cluster);
         }
     }
@@ -56,6 +56,17 @@
     })
 }
 
+/// The first voters: this replica, and those that found the system together with it.
+fn founders(settings: &Settings, own: &ReplicaId) -> Membership {
+    let together = settings.founders.iter().map(|instance| ReplicaId {
+        instance: instance.clone(),
+        incarnation: FOUNDERS_LIFE,
+    });
+    let mut voters: BTreeSet<ReplicaId> = together.collect();
+    voters.insert(own.clone());
+    Membership::of_voters(voters)
+}
+
 /// The cluster's number: a hash of its name.
 fn cluster_id(name: &str) -> ClusterId {
     ClusterId(mimosa_protocol::hash::rendezvous_weight("cluster", name))
--- a/crates/mimosa-control/src/replicator/replicated/input.rs
+++ b/crates/mimosa-control/src/replicator/replicated/input.rs
@@ -41,6 +41,8 @@
         /// Where the news go.
         reply: oneshot::Sender<()>,
     },
+    /// Other control instances that were discovered.
+    MorePeers(Vec<InstanceId>),
     /// Hands the leadership on.
     Transfer,
     /// Ends the thread.
--- /dev/null
+++ b/crates/mimosa-control/src/routing/gateway_port.rs
@@ -0,0 +1,164 @@
+//! The gateways' TCP: the routing document, the data centres that are out, the endpoints.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+use mimosa_protocol::Result;
+use mimosa_route::EndpointList;
+use mimosa_route::message::ControlMessage;
+use mimosa_route::message::ControlState;
+use mimosa_route::message::GatewayMessage;
+use mimosa_transport::accept;
+use mimosa_transport::frame;
+use mimosa_transport::socket;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+use tokio::time::timeout;
+
+use crate::replicator::Replicator;
+use crate::shared::Shared;
+
+/// How long a gateway may take to say who it is.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long one message may take to leave.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Messages of a gateway that wait to be handled.
+const QUEUED_MESSAGES: usize = 64;
+
+/// What every connection of a gateway needs.
+#[derive(Clone)]
+pub struct GatewayPort {
+    /// The name of the system.
+    pub cluster: String,
+    /// The replicated log.
+    pub replicator: Arc<dyn Replicator>,
+    /// The applied state.
+    pub shared: Arc<Shared>,
+    /// The endpoints.
+    pub endpoints: watch::Receiver<Arc<EndpointList>>,
+    /// Time between two heartbeats.
+    pub heartbeat: Duration,
+}
+
+impl GatewayPort {
+    /// Accepts connections until the task is aborted; its connections end with it.
+    pub async fn serve(self, listener: TcpListener) {
+        accept::run(listener, "gateways", |stream| {
+            self.clone().connection(stream)
+        })
+        .await;
+    }
+
+    async fn connection(self, stream: TcpStream) {
+        if let Err(e) = self.talk(stream).await {
+            info!("the connection of a gateway ended: {e}");
+        }
+    }
+
+    async fn talk(self, mut stream: TcpStream) -> Result<()> {
+        socket::prepare(&stream);
+        let Ok(hello) = timeout(HELLO_TIMEOUT, frame::read(&mut stream)).await else {
+            return Ok(());
+        };
+        let Some(GatewayMessage::Hello {
+            cluster, instance, ..
+        }) = hello?
+        else {
+            return Ok(());
+        };
+        if cluster != self.cluster {
+            warn!("gateway '{instance}' belongs to system '{cluster}'");
+            return Ok(());
+        }
+        info!("gateway={instance} state=connected");
+        let (mut reader, writer) = stream.into_split();
+        let (tx, messages) = mpsc::channel(QUEUED_MESSAGES);
+        let reading = async move {
+            while let Some(message) = frame::read(&mut reader).await? {
+                if tx.send(message).await.is_err() {
+                    break;
+                }
+            }
+            Ok(())
+        };
+        let ended = tokio::select! {
+            ended = reading => ended,
+            ended = self.write(writer, messages) => ended,
+        };
+        info!("gateway={instance} state=disconnected");
+        ended
+    }
+
+    async fn write(
+        mut self,
+        mut writer: OwnedWriteHalf,
+        mut messages: mpsc::Receiver<GatewayMessage>,
+    ) -> Result<()> {
+        let mut routing = self.shared.routing_changes();
+        let mut ticks = interval(self.heartbeat);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        self.endpoints.mark_changed();
+        loop {
+            let message = tokio::select! {
+                _ = ticks.tick() => ControlMessage::State(self.state()),
+                Ok(()) = routing.changed() => ControlMessage::State(self.state()),
+                Ok(()) = self.endpoints.changed() => {
+                    let list = Arc::clone(&self.endpoints.borrow_and_update());
+                    if list.term == 0 {
+                        continue;
+                    }
+                    ControlMessage::Endpoints(list)
+                }
+                message = messages.recv() => match message {
+                    Some(GatewayMessage::WantDocument) => match self.document() {
+                        Some(document) => document,
+                        None => continue,
+                    },
+                    Some(_) => continue,
+                    None => return Ok(()),
+                },
+            };
+            let sent = timeout(WRITE_TIMEOUT, frame::write(&mut writer, &message)).await;
+            match sent {
+                Ok(result) => result?,
+                Err(_) => return Ok(()),
+            }
+        }
+    }
+
+    fn document(&self) -> Option<ControlMessage> {
+        self.shared.read(|machine| {
+            let document = machine.routing().document()?;
+            Some(ControlMessage::Document {
+                version: document.version,
+                bytes: Arc::clone(&document.bytes),
+            })
+        })
+    }
+
+    fn state(&self) -> ControlState {
+        let status = self.replicator.status();
+        let members = status.voters.iter().chain(&status.learners);
+        let (version, out, changed) = self.shared.read(|machine| {
+            let routing = machine.routing();
+            let version = routing.document().map(|document| document.version);
+            let out = routing.out().iter().cloned().collect();
+            (version, out, routing.changed())
+        });
+        ControlState {
+            term: status.term,
+            leader: status.leader.and_then(|leader| leader.parse().ok()),
+            members: members.filter_map(|name| name.parse().ok()).collect(),
+            version,
+            out,
+            changed,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mimosa-control/src/routing/listing.rs
@@ -0,0 +1,75 @@
+//! The leader reads the list of endpoints for everybody.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+use mimosa_route::EndpointList;
+use tokio::sync::watch;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+use tokio::time::timeout;
+
+use crate::replicator::Replicator;
+use crate::routing::EndpointSource;
+
+/// Longest time for one read of the whole list.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Reads the list while this instance leads, and publishes each change, until the task is aborted.
+pub async fn run(
+    source: Arc<dyn EndpointSource>,
+    replicator: Arc<dyn Replicator>,
+    every: Duration,
+    published: watch::Sender<Arc<EndpointList>>,
+) {
+    let mut ticks = interval(every);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut failing = false;
+    loop {
+        ticks.tick().await;
+        let status = replicator.status();
+        if status.role != "leader" {
+            continue;
+        }
+        let listed = match timeout(READ_TIMEOUT, source.list()).await {
+            Ok(Ok(listed)) => listed,
+            Ok(Err(e)) => {
+                if !failing {
+                    warn!("dependency=endpoint_list state=lost reason=\"{e}\"");
+                }
+                failing = true;
+                continue;
+            }
+            Err(_) => {
+                if !failing {
+                    warn!("dependency=endpoint_list state=lost reason=\"no answer in time\"");
+                }
+                failing = true;
+                continue;
+            }
+        };
+        if failing {
+            info!("dependency=endpoint_list state=regained");
+        }
+        failing = false;
+        published.send_if_modified(|known| {
+            if known.term == status.term && known.endpoints == listed {
+                return false;
+            }
+            let sequence = known.sequence + 1;
+            info!(
+                "endpoints={} term={} sequence={sequence}",
+                listed.len(),
+                status.term
+            );
+            *known = Arc::new(EndpointList {
+                term: status.term,
+                sequence,
+                endpoints: listed,
+            });
+            true
+        });
+    }
+}
--- a/crates/mimosa-control/src/server.rs
+++ b/crates/mimosa-control/src/server.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use axum::Router;
 use log::info;
 use log::warn;
 use mimosa_protocol::Error;
@@ -12,17 +13,20 @@
 use mimosa_protocol::Result;
 use mimosa_state::Machine;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
+use crate::admin;
 use crate::admin::Admin;
 use crate::clock;
 use crate::entry_port::EntryPort;
 use crate::freshness;
 use crate::in_force::InForce;
 use crate::peer::PeerMessage;
+use crate::peer::discovery::Search;
 use crate::peer::founding;
 use crate::peer::gossip;
 use crate::peer::inbound::Inbound;
@@ -33,6 +37,10 @@
 use crate::replicator::replicated::core::CoreHandle;
 use crate::replicator::replicated::disk;
 use crate::replicator::replicated::disk::Opened;
+use crate::routing::Outside;
+use crate::routing::RoutingOrders;
+use crate::routing::gateway_port::GatewayPort;
+use crate::routing::listing;
 use crate::settings::Settings;
 use crate::shared::Shared;
 
@@ -126,7 +134,21 @@
     /// If the data folder cannot be used.
     pub async fn start(mut self, replicas: BTreeMap<InstanceId, SocketAddr>) -> Result<Running> {
         self.settings.replicas = replicas;
-        if self.settings.found && is_founded(&self.settings).await {
+        self.start_with(None).await
+    }
+
+    /// Starts an instance that also controls gateways; its operators' HTTP is the outside system's.
+    ///
+    /// # Errors
+    ///
+    /// If the data folder cannot be used.
+    pub async fn start_routing(self, outside: Outside) -> Result<Running> {
+        self.start_with(Some(outside)).await
+    }
+
+    async fn start_with(mut self, outside: Option<Outside>) -> Result<Running> {
+        let asks = self.settings.found && self.settings.founders.is_empty();
+        if asks && is_founded(&self.settings).await {
             warn!("the system is founded already: this instance joins it");
             self.settings.found = false;
         }
@@ -138,10 +160,19 @@
         };
         let opened = assembly.open_folder().await?;
         let replicator = assembly.join_cluster(opened, self.peer)?;
-        assembly.serve_entries(&replicator, self.entry);
         let (stop, stopped) = watch::channel(false);
-        let admin = assembly.admin(&replicator).serve(self.admin, stopped);
-        info!("control instance at {}", self.addresses.admin);
+        let router = match outside {
+            Some(outside) => assembly.serve_gateways(&replicator, self.entry, outside),
+            None => {
+                assembly.serve_entries(&replicator, self.entry);
+                assembly.admin(&replicator).router()
+            }
+        };
+        let admin = admin::serve(router, self.admin, stopped);
+        info!(
+            "event=start role=control instance={} operators={}",
+            assembly.settings.instance, self.addresses.admin
+        );
         Ok(Running {
             addresses: self.addresses,
             replicator,
@@ -174,10 +205,24 @@
         let (outbound, links) = Outbound::new(&hello(settings), peers.clone());
         let outbound = Arc::new(outbound);
         let calls = Arc::new(Calls::default());
-        let consensus = consensus_settings(settings, opened.id.incarnation.get());
+        let consensus = consensus_settings(settings, random_seed());
         let shared = Arc::clone(&self.shared);
         let core = CoreHandle::start(opened, consensus, shared, Arc::clone(&outbound))?;
+        let discovered = settings.discovery.clone().map(|discovery| {
+            let (tx, heard) = mpsc::unbounded_channel();
+            let search = Search {
+                own: settings.instance.clone(),
+                discovery,
+                outbound: Arc::clone(&outbound),
+                core: core.sender(),
+                status: core.shared_status(),
+                heard,
+            };
+            self.tasks.spawn(search.run());
+            tx
+        });
         let inbound = Inbound {
+            discovered,
             cluster: settings.cluster.clone(),
             peers: Arc::new(peers),
             core: core.sender(),
@@ -222,6 +267,36 @@
             .spawn(forget(in_force, self.settings.forget_entry_after));
     }
 
+    /// Starts what gateways connect to and the reading of the list; returns the operators' HTTP.
+    fn serve_gateways(
+        &mut self,
+        replicator: &Arc<dyn Replicator>,
+        listener: TcpListener,
+        outside: Outside,
+    ) -> Router {
+        let (published, endpoints) = watch::channel(Arc::default());
+        let reading = listing::run(
+            outside.source,
+            Arc::clone(replicator),
+            outside.list_interval,
+            published,
+        );
+        self.tasks.spawn(reading);
+        let port = GatewayPort {
+            cluster: self.settings.cluster.clone(),
+            replicator: Arc::clone(replicator),
+            shared: Arc::clone(&self.shared),
+            endpoints,
+            heartbeat: self.settings.heartbeat,
+        };
+        self.tasks.spawn(port.serve(listener));
+        outside.operators.router(RoutingOrders {
+            format: outside.format,
+            replicator: Arc::clone(replicator),
+            shared: Arc::clone(&self.shared),
+        })
+    }
+
     fn admin(&self, replicator: &Arc<dyn Replicator>) -> Admin {
         Admin {
             settings: Arc::clone(&self.settings),
@@ -286,16 +361,24 @@
 }
 
 fn consensus_settings(settings: &Settings, seed: u64) -> mimosa_consensus::Settings {
+    let seeds = settings.discovery.iter().flat_map(|known| &known.seeds);
     mimosa_consensus::Settings {
         seed,
         heartbeat_interval: settings.replica_heartbeat,
         election_timeout: settings.election_timeout,
         snapshot_after: settings.snapshot_after,
-        peers: settings.replicas.keys().cloned().collect(),
+        peers: settings.replicas.keys().chain(seeds).cloned().collect(),
         ..mimosa_consensus::Settings::default()
     }
 }
 
+/// Another number at each start of each instance.
+fn random_seed() -> u64 {
+    let mut random = [0; 8];
+    getrandom::fill(&mut random).expect("the system gives random bytes");
+    u64::from_le_bytes(random)
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address)
         .await
--- a/crates/mimosa-control/src/settings.rs
+++ b/crates/mimosa-control/src/settings.rs
@@ -1,15 +1,23 @@
 //! What a control instance is told at its start.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
+use mimosa_protocol::Incarnation;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::OperatorId;
+use mimosa_protocol::Timestamp;
 use mimosa_protocol::hash::Sha;
 
+/// The life of every replica that founds a system together with others. Later lives are numbered
+/// by their start in microseconds and are higher.
+pub const FOUNDERS_LIFE: Incarnation = Incarnation(1);
+
 /// The settings of a control instance.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -32,6 +40,10 @@
     /// first control instance: an instance that lost its disk has to join instead. It does so even
     /// if this is asked for again, as long as it reaches another instance of the system.
     pub found: bool,
+    /// Instances that found the system together, each on an empty disk; empty if one founds it.
+    pub founders: BTreeSet<InstanceId>,
+    /// How instances that are not listed are found; `None` if all are listed.
+    pub discovery: Option<Discovery>,
     /// Silence after which another control instance stands for election.
     pub election_timeout: Duration,
     /// Time between two heartbeats of the leader to the other control instances.
@@ -52,11 +64,39 @@
     pub forget_entry_after: Duration,
 }
 
+/// How control instances find each other when they are named by their IP addresses.
+#[derive(Clone, Debug, Default)]
+pub struct Discovery {
+    /// Instances that may know the others.
+    pub seeds: BTreeSet<InstanceId>,
+    /// The port at which every control instance listens to the others.
+    pub port: u16,
+}
+
+impl Discovery {
+    /// Where an instance that is named by its IP address listens to the others.
+    pub fn address(&self, instance: &InstanceId) -> Option<SocketAddr> {
+        let ip: IpAddr = instance.as_str().parse().ok()?;
+        Some(SocketAddr::new(ip, self.port))
+    }
+}
+
 impl Settings {
     /// Whether an empty data folder founds a system: when asked to, or when there is no other
     /// control instance that could know one.
     pub fn founds(&self) -> bool {
-        self.found || self.peers().next().is_none()
+        let is_alone = self.discovery.is_none() && self.peers().next().is_none();
+        self.found || is_alone
+    }
+
+    /// The number of a life that starts with an empty disk. The founders of a system know each
+    /// other's before they start.
+    pub fn new_incarnation(&self, now: Timestamp) -> Incarnation {
+        if self.found && self.founders.contains(&self.instance) {
+            FOUNDERS_LIFE
+        } else {
+            Incarnation(now.as_micros())
+        }
     }
 
     /// The other control instances.
@@ -85,6 +125,8 @@
             peer_listen: any_port,
             replicas: BTreeMap::new(),
             found: false,
+            founders: BTreeSet::new(),
+            discovery: None,
             election_timeout: Duration::from_millis(1_000),
             replica_heartbeat: Duration::from_millis(100),
             snapshot_after: 4_096,
--- a/crates/mimosa-control/src/shared.rs
+++ b/crates/mimosa-control/src/shared.rs
@@ -14,15 +14,19 @@
 pub struct Shared {
     machine: RwLock<Machine>,
     revision: watch::Sender<Revision>,
+    /// The log index of the last routing change.
+    routing: watch::Sender<u64>,
 }
 
 impl Shared {
     /// Wraps a state.
     pub fn new(machine: Machine) -> Self {
         let (revision, _) = watch::channel(machine.configuration().revision);
+        let (routing, _) = watch::channel(machine.routing().changed());
         Self {
             machine: RwLock::new(machine),
             revision,
+            routing,
         }
     }
 
@@ -36,7 +40,7 @@
     pub fn apply(&self, index: u64, command: Command) -> CommandResult {
         let mut machine = self.machine.write().unwrap_or_else(PoisonError::into_inner);
         let result = machine.apply(index, command);
-        self.announce(machine.configuration().revision);
+        self.announce(&machine);
         result
     }
 
@@ -44,7 +48,7 @@
     pub fn replace(&self, newer: Machine) {
         let mut machine = self.machine.write().unwrap_or_else(PoisonError::into_inner);
         *machine = newer;
-        self.announce(machine.configuration().revision);
+        self.announce(&machine);
     }
 
     /// Announces each new revision of the configuration.
@@ -52,7 +56,19 @@
         self.revision.subscribe()
     }
 
-    fn announce(&self, revision: Revision) {
+    /// Announces each change of the routing state, by its log index.
+    pub fn routing_changes(&self) -> watch::Receiver<u64> {
+        self.routing.subscribe()
+    }
+
+    fn announce(&self, machine: &Machine) {
+        let revision = machine.configuration().revision;
+        let changed = machine.routing().changed();
+        self.routing.send_if_modified(|known| {
+            let newer = changed > *known;
+            *known = changed.max(*known);
+            newer
+        });
         self.revision.send_if_modified(|known| {
             let newer = revision > *known;
             *known = revision.max(*known);
--- /dev/null
+++ b/crates/mimosa-gateway/src/control_link.rs
@@ -0,0 +1,120 @@
+//! Follows the control instances. One connection to each: news come from whichever is ahead.
+
+use std::collections::BTreeSet;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use log::info;
+use log::warn;
+use mimosa_protocol::InstanceId;
+use mimosa_route::message::ControlMessage;
+use mimosa_route::message::GatewayMessage;
+use mimosa_transport::link;
+use mimosa_transport::link::Event;
+use mimosa_transport::link::Link;
+use mimosa_transport::link::Outbox;
+use mimosa_transport::link::Sent;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use crate::shared::Shared;
+
+/// Follows every control instance that becomes known, until the task is aborted.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    let (tx, mut heard) = mpsc::unbounded_channel();
+    let mut followed = BTreeSet::new();
+    let mut tasks = JoinSet::new();
+    let seeds = shared.settings.seeds.iter().cloned();
+    let mut news: Vec<InstanceId> = seeds.collect();
+    loop {
+        for instance in news.drain(..) {
+            if followed.insert(instance.clone()) {
+                tasks.spawn(follow(Arc::clone(&shared), instance, tx.clone()));
+            }
+        }
+        match heard.recv().await {
+            Some(members) => news = members,
+            None => return,
+        }
+    }
+}
+
+async fn follow(
+    shared: Arc<Shared>,
+    instance: InstanceId,
+    heard: mpsc::UnboundedSender<Vec<InstanceId>>,
+) {
+    let Ok(ip) = instance.as_str().parse::<IpAddr>() else {
+        warn!("control instance '{instance}' is not named by its IP address");
+        return;
+    };
+    let address = SocketAddr::new(ip, shared.settings.control_port);
+    let settings = link::Settings {
+        seed: shared.random(),
+        ..link::Settings::default()
+    };
+    loop {
+        let mut link = Link::open(address, settings.clone());
+        let mut outbox = None;
+        let silence = shared.settings.control_silence;
+        while let Ok(event) = timeout(silence, link.next()).await {
+            match event {
+                Event::Connected(tx) => {
+                    info!("dependency=control instance={instance} state=connected");
+                    hello(&shared, &tx);
+                    outbox = Some(tx);
+                }
+                Event::Disconnected(why) => {
+                    if outbox.take().is_some() {
+                        warn!("dependency=control instance={instance} state=lost reason=\"{why}\"");
+                    }
+                }
+                Event::Message(message) => {
+                    let Some(outbox) = &outbox else { continue };
+                    take_in(&shared, message, outbox, &heard);
+                }
+            }
+        }
+        if outbox.is_some() {
+            warn!("dependency=control instance={instance} state=lost reason=\"silence\"");
+        }
+    }
+}
+
+fn take_in(
+    shared: &Shared,
+    message: ControlMessage,
+    outbox: &Outbox<GatewayMessage>,
+    heard: &mpsc::UnboundedSender<Vec<InstanceId>>,
+) {
+    let directory = &shared.directory;
+    match message {
+        ControlMessage::State(state) => {
+            if directory.take_state(&state) {
+                send(outbox, GatewayMessage::WantDocument);
+            }
+            heard.send(state.members).ok();
+        }
+        ControlMessage::Document { version, bytes } => directory.take_document(version, &bytes),
+        ControlMessage::Endpoints(list) => directory.take_endpoints(shared.now(), &list),
+    }
+}
+
+fn hello(shared: &Shared, outbox: &Outbox<GatewayMessage>) {
+    let hello = GatewayMessage::Hello {
+        cluster: shared.settings.cluster.clone(),
+        instance: shared.settings.instance.clone(),
+        data_centre: shared.settings.data_centre.clone(),
+    };
+    send(outbox, hello);
+}
+
+fn send(outbox: &Outbox<GatewayMessage>, message: GatewayMessage) {
+    match outbox.send(message) {
+        Sent::Queued => {}
+        // The next state of the instance asks again.
+        Sent::Full | Sent::Gone => info!("dependency=control message=dropped"),
+    }
+}
--- /dev/null
+++ b/crates/mimosa-gateway/src/directory.rs
@@ -0,0 +1,267 @@
+//! What control instances told: routes, endpoints, data centres that are out.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use arc_swap::ArcSwap;
+use arc_swap::ArcSwapOption;
+use log::info;
+use log::warn;
+use mimosa_protocol::DataCentreId;
+use mimosa_protocol::EndpointId;
+use mimosa_protocol::InstanceId;
+use mimosa_protocol::Timestamp;
+use mimosa_protocol::Tokens;
+use mimosa_protocol::configuration::EndpointState;
+use mimosa_route::DocumentFormat;
+use mimosa_route::DocumentVersion;
+use mimosa_route::EndpointList;
+use mimosa_route::ListedEndpoint;
+use mimosa_route::RouteTable;
+use mimosa_route::message::ControlState;
+use mimosa_schedule::health::Health;
+
+use crate::connection::Pool;
+use crate::dialect::ToldLoad;
+
+/// Everything that control instances told.
+pub(crate) struct Directory {
+    format: Arc<dyn DocumentFormat>,
+    table: ArcSwapOption<RouteTable>,
+    endpoints: ArcSwap<Endpoints>,
+    out: ArcSwap<BTreeSet<DataCentreId>>,
+    update: Mutex<Update>,
+}
+
+/// What orders the news of different control instances.
+#[derive(Default)]
+struct Update {
+    changed: u64,
+    term: u64,
+    leader: Option<InstanceId>,
+}
+
+/// The endpoints of one list.
+#[derive(Default)]
+pub(crate) struct Endpoints {
+    list: EndpointList,
+    known: HashMap<EndpointId, Arc<EndpointEntry>>,
+}
+
+/// One life of an endpoint, with what this gateway knows of it.
+pub(crate) struct EndpointEntry {
+    pub(crate) listed: ListedEndpoint,
+    pub(crate) cold_until: Timestamp,
+    pub(crate) pool: Pool,
+    /// Requests of this gateway that it has in hand.
+    pub(crate) in_hand: AtomicU32,
+    /// Their prompt tokens that are still to be prefilled.
+    pub(crate) prompt_tokens: AtomicU64,
+    pub(crate) health: Mutex<Health>,
+    told: Mutex<Option<(Timestamp, ToldLoad)>>,
+}
+
+impl EndpointEntry {
+    pub(crate) fn health(&self) -> MutexGuard<'_, Health> {
+        self.health.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn tell_load(&self, now: Timestamp, load: ToldLoad) {
+        *self.told.lock().unwrap_or_else(PoisonError::into_inner) = Some((now, load));
+    }
+
+    pub(crate) fn told_load(&self) -> Option<(Timestamp, ToldLoad)> {
+        *self.told.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Counts a request in hand at an endpoint until dropped.
+pub(crate) struct InHand {
+    endpoint: Arc<EndpointEntry>,
+    prompt: Tokens,
+}
+
+impl InHand {
+    pub(crate) fn new(endpoint: &Arc<EndpointEntry>, prompt: Tokens) -> Self {
+        endpoint.in_hand.fetch_add(1, Ordering::Relaxed);
+        endpoint
+            .prompt_tokens
+            .fetch_add(prompt.0, Ordering::Relaxed);
+        Self {
+            endpoint: Arc::clone(endpoint),
+            prompt,
+        }
+    }
+}
+
+impl Drop for InHand {
+    fn drop(&mut self) {
+        self.endpoint.in_hand.fetch_sub(1, Ordering::Relaxed);
+        self.endpoint
+            .prompt_tokens
+            .fetch_sub(self.prompt.0, Ordering::Relaxed);
+    }
+}
+
+impl Directory {
+    pub(crate) fn new(format: Arc<dyn DocumentFormat>) -> Self {
+        Self {
+            format,
+            table: ArcSwapOption::empty(),
+            endpoints: ArcSwap::default(),
+            out: ArcSwap::default(),
+            update: Mutex::default(),
+        }
+    }
+
+    /// The routes; `None` before the first document.
+    pub(crate) fn table(&self) -> Option<Arc<RouteTable>> {
+        self.table.load_full()
+    }
+
+    pub(crate) fn is_out(&self, data_centre: &DataCentreId) -> bool {
+        self.out.load().contains(data_centre)
+    }
+
+    pub(crate) fn endpoints(&self) -> Arc<Endpoints> {
+        self.endpoints.load_full()
+    }
+
+    /// Whether requests can be served.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.table.load().is_some() && self.endpoints.load().list.term > 0
+    }
+
+    /// Takes in the state of a control instance. Returns whether its document is wanted.
+    pub(crate) fn take_state(&self, state: &ControlState) -> bool {
+        let mut update = self.update();
+        if state.term >= update.term {
+            update.term = state.term;
+            if state.leader.is_some() && update.leader != state.leader {
+                info!(
+                    "control_leader={} term={}",
+                    state.leader.as_ref().map_or("none", InstanceId::as_str),
+                    state.term
+                );
+                update.leader.clone_from(&state.leader);
+            }
+        }
+        if state.changed > update.changed {
+            update.changed = state.changed;
+            let out: BTreeSet<_> = state.out.iter().cloned().collect();
+            if **self.out.load() != out {
+                let names: Vec<_> = out.iter().map(DataCentreId::as_str).collect();
+                info!(
+                    "data_centres_out=[{}] index={}",
+                    names.join(","),
+                    state.changed
+                );
+                self.out.store(Arc::new(out));
+            }
+        }
+        state.version > self.version()
+    }
+
+    /// Takes in a routing document if it is newer.
+    pub(crate) fn take_document(&self, version: DocumentVersion, bytes: &[u8]) {
+        let _update = self.update();
+        if Some(version) <= self.version() {
+            return;
+        }
+        match self.format.read(bytes) {
+            Ok(cfg) => {
+                info!(
+                    "routing_version={version} routes={} accounts={} bytes={}",
+                    cfg.routes.len(),
+                    cfg.accounts.len(),
+                    bytes.len()
+                );
+                self.table.store(Some(Arc::new(RouteTable::new(cfg))));
+            }
+            Err(flaw) => warn!("routing_version={version} outcome=unreadable reason=\"{flaw}\""),
+        }
+    }
+
+    /// Takes in a list of endpoints if it is newer. What is known of lives that go on stays.
+    pub(crate) fn take_endpoints(&self, now: Timestamp, list: &EndpointList) {
+        let _update = self.update();
+        let old = self.endpoints.load();
+        if !list.is_newer_than(&old.list) {
+            return;
+        }
+        let known = list
+            .endpoints
+            .iter()
+            .map(|listed| {
+                let held = old.known.get(&listed.id);
+                let entry = held.filter(|held| held.listed == *listed).map_or_else(
+                    || Arc::new(EndpointEntry::new(now, listed, held.map(AsRef::as_ref))),
+                    Arc::clone,
+                );
+                (listed.id.clone(), entry)
+            })
+            .collect();
+        for gone in old.known.keys().filter(|id| !has(list, id)) {
+            info!("endpoint={gone} state=gone sequence={}", list.sequence);
+        }
+        self.endpoints.store(Arc::new(Endpoints {
+            list: list.clone(),
+            known,
+        }));
+    }
+
+    fn version(&self) -> Option<DocumentVersion> {
+        let table = self.table.load();
+        table.as_ref().map(|table| table.configuration().version)
+    }
+
+    fn update(&self) -> MutexGuard<'_, Update> {
+        self.update.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn has(list: &EndpointList, id: &EndpointId) -> bool {
+    list.endpoints.iter().any(|listed| listed.id == *id)
+}
+
+impl Endpoints {
+    /// The endpoints that take new work, of every service.
+    pub(crate) fn active(&self) -> impl Iterator<Item = &Arc<EndpointEntry>> {
+        self.known
+            .values()
+            .filter(|entry| entry.listed.state == EndpointState::Active)
+    }
+}
+
+impl EndpointEntry {
+    fn new(now: Timestamp, listed: &ListedEndpoint, held: Option<&Self>) -> Self {
+        info!(
+            "endpoint={} service={} address={} role={:?} state={:?} cold_ms={}",
+            listed.id,
+            listed.service,
+            listed.address,
+            listed.role,
+            listed.state,
+            listed.cold_left.as_millis()
+        );
+        let goes_on = held.filter(|held| {
+            held.listed.born == listed.born && held.listed.address == listed.address
+        });
+        Self {
+            listed: listed.clone(),
+            cold_until: now + listed.cold_left,
+            pool: goes_on.map_or_else(|| Pool::new(listed.address), |held| held.pool.clone()),
+            in_hand: AtomicU32::new(0),
+            prompt_tokens: AtomicU64::new(0),
+            health: Mutex::new(goes_on.map_or_else(Health::default, |held| held.health().clone())),
+            told: Mutex::new(goes_on.and_then(Self::told_load)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/mimosa-gateway/src/head.rs
@@ -0,0 +1,71 @@
+//! Finds the route, the account and the service of a request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::header;
+use mimosa_protocol::AccountId;
+use mimosa_protocol::ServiceId;
+use mimosa_protocol::Timestamp;
+use mimosa_route::Route;
+use mimosa_route::RouteTable;
+
+use crate::answer::Failure;
+use crate::dialect::RequestFacts;
+use crate::shared::Shared;
+
+/// A request whose route and account are known.
+pub(crate) struct Identified {
+    pub(crate) facts: RequestFacts,
+    pub(crate) table: Arc<RouteTable>,
+    pub(crate) route: Route,
+    pub(crate) account: Option<AccountId>,
+    pub(crate) service: ServiceId,
+    pub(crate) arrived: Timestamp,
+    /// When the caller or the route gives it up.
+    pub(crate) deadline: Timestamp,
+}
+
+impl Identified {
+    pub(crate) fn time_left(&self, now: Timestamp) -> Duration {
+        self.deadline.since(now)
+    }
+}
+
+/// Identifies a request from its head.
+pub(crate) fn identify<B>(
+    shared: &Shared,
+    now: Timestamp,
+    request: &Request<B>,
+) -> Result<Identified, Failure> {
+    let facts = shared.dialect.read(request.headers());
+    let table = shared.directory.table().ok_or(Failure::NoConfiguration)?;
+    let host = request
+        .headers()
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok())
+        .or_else(|| request.uri().host())
+        .unwrap_or_default();
+    let route = table.route(host, request.uri().path());
+    let route = route.ok_or(Failure::NoRoute)?.clone();
+    let account = match &facts.key {
+        _ if route.open || !table.needs_keys() => None,
+        Some(key) => {
+            let holder = table.holder(key).ok_or(Failure::NoKey)?;
+            Some(holder.id.clone())
+        }
+        None => return Err(Failure::NoKey),
+    };
+    let service = route.pick(shared.random()).ok_or(Failure::NoRoute)?.clone();
+    let patience = facts.patience.unwrap_or(route.timeout).min(route.timeout);
+    Ok(Identified {
+        facts,
+        table,
+        route,
+        account,
+        service,
+        arrived: now,
+        deadline: now + patience,
+    })
+}
--- /dev/null
+++ b/crates/mimosa-gateway/src/plain.rs
@@ -0,0 +1,139 @@
+//! Requests of plain services.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Response;
+use log::info;
+use mimosa_protocol::Timestamp;
+use mimosa_protocol::configuration::EndpointRole;
+
+use crate::answer::Body;
+use crate::answer::Failure;
+use crate::dialect::Step;
+use crate::directory::EndpointEntry;
+use crate::head::Identified;
+use crate::relay;
+use crate::shared::Shared;
+use crate::upstream;
+use crate::upstream::CallFailure;
+use crate::upstream::Whole;
+
+/// When callers come back after a plain service had no room: about the time of one answer.
+const BUSY_RETRY: Duration = Duration::from_millis(50);
+/// Latency targets after which an idempotent request is tried elsewhere.
+const PATIENCE_IN_TARGETS: u32 = 2;
+
+/// Sends a request to endpoints until one answers or no more may be tried.
+pub(crate) async fn serve(
+    shared: &Arc<Shared>,
+    request: &Identified,
+    whole: &Whole,
+) -> Result<Response<Body>, Failure> {
+    let repeats = request.route.repeat.allows_second_run();
+    let most = request.route.max_attempts.max(1);
+    let mut tried: Vec<Arc<EndpointEntry>> = Vec::new();
+    let mut last = Last::Nothing;
+    for attempt in 1..=most {
+        let now = shared.now();
+        if now >= request.deadline {
+            break;
+        }
+        let endpoints = shared.directory.endpoints();
+        let role = EndpointRole::Plain;
+        let Some(endpoint) = upstream::choose(shared, now, &endpoints, request, role, &tried)
+        else {
+            break;
+        };
+        if attempt > 1 && !shared.take_retry(now, &request.service) {
+            info!(
+                "request={} step=retry outcome=refused reason=\"no retry budget\"",
+                request.facts.attempt
+            );
+            break;
+        }
+        tried.push(Arc::clone(&endpoint));
+        let limit = attempt_time(request, now, repeats && attempt < most);
+        match one(shared, request, whole, &endpoint, limit).await {
+            Ok(response) if repeats && response.status().is_server_error() => {
+                last = Last::Answer(response);
+            }
+            Ok(response) => return Ok(response),
+            Err(failure) => {
+                info!(
+                    "request={} step=call outcome={failure:?} endpoint={} attempt={attempt}",
+                    request.facts.attempt, endpoint.listed.id
+                );
+                last.replace(failure);
+                if !failure.has_not_run() && !repeats {
+                    break;
+                }
+            }
+        }
+    }
+    last.into_result()
+}
+
+/// What the attempts came to so far.
+enum Last {
+    Nothing,
+    Failed(CallFailure),
+    /// An endpoint's own answer that tells of a failure.
+    Answer(Response<Body>),
+}
+
+impl Last {
+    /// A later failure does not hide that the request may have run before.
+    fn replace(&mut self, failure: CallFailure) {
+        let keeps = match self {
+            Self::Nothing => false,
+            Self::Failed(old) => !old.has_not_run() && failure.has_not_run(),
+            Self::Answer(_) => true,
+        };
+        if !keeps {
+            *self = Self::Failed(failure);
+        }
+    }
+
+    fn into_result(self) -> Result<Response<Body>, Failure> {
+        match self {
+            Self::Answer(response) => Ok(response),
+            Self::Nothing => Err(Failure::NotRun {
+                reason: "no endpoint",
+                retry_after: BUSY_RETRY,
+            }),
+            Self::Failed(CallFailure::NotSent | CallFailure::NotRun) => Err(Failure::NotRun {
+                reason: "the endpoints have no room",
+                retry_after: BUSY_RETRY,
+            }),
+            Self::Failed(CallFailure::Unknown(reason)) => Err(Failure::Lost(reason)),
+            Self::Failed(CallFailure::TimedOut) => Err(Failure::TimedOut),
+        }
+    }
+}
+
+/// How long one attempt may take, if another may follow.
+fn attempt_time(request: &Identified, now: Timestamp, another: bool) -> Duration {
+    let left = request.time_left(now);
+    if another {
+        let patience = request.route.target * PATIENCE_IN_TARGETS;
+        patience.max(left / 3).min(left)
+    } else {
+        left
+    }
+}
+
+async fn one(
+    shared: &Arc<Shared>,
+    request: &Identified,
+    whole: &Whole,
+    endpoint: &Arc<EndpointEntry>,
+    limit: Duration,
+) -> Result<Response<Body>, CallFailure> {
+    let opened = upstream::call(shared, request, whole, endpoint, Step::Whole, limit).await?;
+    let left = request.time_left(shared.now());
+    match tokio::time::timeout(left, relay::take_in(shared, opened)).await {
+        Ok(result) => result,
+        Err(_) => Err(CallFailure::TimedOut),
+    }
+}
--- /dev/null
+++ b/crates/mimosa-gateway/src/relay.rs
@@ -0,0 +1,169 @@
+//! Passes an endpoint's answer on to the caller.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::Body as _;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::body::SizeHint;
+use hyper::header;
+use log::info;
+use mimosa_protocol::Timestamp;
+
+use crate::answer;
+use crate::answer::Body;
+use crate::connection::Connection;
+use crate::directory::EndpointEntry;
+use crate::directory::InHand;
+use crate::shared::Shared;
+use crate::upstream;
+use crate::upstream::CallFailure;
+use crate::upstream::Opened;
+
+/// Largest answer that is taken in whole before it is passed on, in bytes. Such an answer is known
+/// to be complete, and a failed one can still be replaced.
+const MAX_BUFFERED: u64 = 64 << 10;
+
+/// An answer that was taken in whole, or whose length is too large or unknown.
+pub(crate) async fn take_in(
+    shared: &Arc<Shared>,
+    opened: Opened,
+) -> Result<Response<Body>, CallFailure> {
+    let length = opened.response.body().size_hint().exact();
+    if length.is_none_or(|length| length > MAX_BUFFERED) {
+        return Ok(stream(shared, opened, String::new()));
+    }
+    let Opened {
+        response,
+        connection,
+        endpoint,
+        in_hand,
+        sent,
+    } = opened;
+    let (mut head, body) = response.into_parts();
+    let collected = body.collect().await;
+    let now = shared.now();
+    drop(in_hand);
+    match collected {
+        Ok(body) => {
+            note(&endpoint, now, sent, head.status.is_server_error());
+            endpoint.pool.put(now, connection);
+            upstream::drop_hop_by_hop(&mut head.headers);
+            Ok(Response::from_parts(head, answer::full(body.to_bytes())))
+        }
+        Err(_) => {
+            endpoint.health().lost(now);
+            Err(CallFailure::Unknown("the answer was cut off"))
+        }
+    }
+}
+
+fn note(endpoint: &EndpointEntry, now: Timestamp, sent: Timestamp, failed: bool) {
+    let mut health = endpoint.health();
+    if failed {
+        health.failed(now);
+    } else {
+        health.answered(now, now.since(sent));
+    }
+}
+
+/// An answer that is passed on as it arrives.
+pub(crate) fn stream(shared: &Arc<Shared>, opened: Opened, request: String) -> Response<Body> {
+    let (mut head, body) = opened.response.into_parts();
+    upstream::drop_hop_by_hop(&mut head.headers);
+    if body.size_hint().exact().is_none() {
+        head.headers.remove(header::CONTENT_LENGTH);
+    }
+    let relay = Relay {
+        shared: Arc::clone(shared),
+        body,
+        connection: Some(opened.connection),
+        endpoint: opened.endpoint,
+        _in_hand: opened.in_hand,
+        sent: opened.sent,
+        request,
+        bytes: 0,
+    };
+    Response::from_parts(head, relay.boxed_unsync())
+}
+
+/// The body of an answer on its way. Dropped before its end, it closes the endpoint's connection.
+struct Relay {
+    shared: Arc<Shared>,
+    body: Incoming,
+    connection: Option<Connection>,
+    endpoint: Arc<EndpointEntry>,
+    _in_hand: InHand,
+    sent: Timestamp,
+    request: String,
+    bytes: u64,
+}
+
+impl Relay {
+    fn end(&mut self, outcome: &str) {
+        let now = self.shared.now();
+        if let Some(connection) = self.connection.take() {
+            match outcome {
+                "complete" => {
+                    note(&self.endpoint, now, self.sent, false);
+                    self.endpoint.pool.put(now, connection);
+                }
+                "cut" => self.endpoint.health().lost(now),
+                _ => {}
+            }
+            if !self.request.is_empty() {
+                info!(
+                    "request={} step=stream outcome={outcome} endpoint={} bytes={} took_ms={}",
+                    self.request,
+                    self.endpoint.listed.id,
+                    self.bytes,
+                    now.since(self.sent).as_millis()
+                );
+            }
+        }
+    }
+}
+
+impl hyper::body::Body for Relay {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        match &polled {
+            Poll::Ready(None) => self.end("complete"),
+            Poll::Ready(Some(Err(_))) => self.end("cut"),
+            Poll::Ready(Some(Ok(frame))) => {
+                self.bytes += frame.data_ref().map_or(0, |data| data.len() as u64);
+                if self.body.is_end_stream() {
+                    self.end("complete");
+                }
+            }
+            Poll::Pending => {}
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.end("left");
+    }
+}
--- /dev/null
+++ b/crates/mimosa-gateway/src/serve.rs
@@ -0,0 +1,74 @@
+//! The way of a request through the gateway.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use log::info;
+
+use crate::answer::Body;
+use crate::answer::Failure;
+use crate::body;
+use crate::head;
+use crate::head::Identified;
+use crate::model;
+use crate::plain;
+use crate::shared::Shared;
+use crate::upstream::Whole;
+
+/// Answers one request of a caller.
+pub(crate) async fn answer(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    let now = shared.now();
+    let identified = match head::identify(&shared, now, &request) {
+        Ok(identified) => identified,
+        Err(failure) => {
+            let facts = shared.dialect.read(request.headers());
+            info!(
+                "request={} step=identify outcome={} reason=\"{}\"",
+                facts.attempt,
+                failure.status().as_u16(),
+                failure.reason()
+            );
+            return Ok(failure.response(shared.dialect.as_ref()));
+        }
+    };
+    let served = serve(&shared, &identified, request).await;
+    Ok(served.unwrap_or_else(|failure| {
+        info!(
+            "request={} step=answer outcome={} reason=\"{}\" route={} took_ms={}",
+            identified.facts.attempt,
+            failure.status().as_u16(),
+            failure.reason(),
+            identified.route.name,
+            shared.now().since(identified.arrived).as_millis()
+        );
+        failure.response(shared.dialect.as_ref())
+    }))
+}
+
+async fn serve(
+    shared: &Arc<Shared>,
+    identified: &Identified,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Failure> {
+    let (head, body) = request.into_parts();
+    let limits = identified.table.configuration().limits;
+    let left = identified.time_left(shared.now());
+    let whole = Whole {
+        method: head.method,
+        uri: head.uri,
+        headers: head.headers,
+        body: body::read(body, limits.body, left).await?,
+    };
+    shared.count_request(shared.now(), &identified.service);
+    if identified.route.repeat.is_stream() {
+        model::serve(shared, identified, &whole).await
+    } else {
+        plain::serve(shared, identified, &whole).await
+    }
+}
--- /dev/null
+++ b/crates/mimosa-gateway/src/server.rs
@@ -0,0 +1,245 @@
+//! The gateway process: accepts callers, follows control instances, drains at the end.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::graceful::GracefulShutdown;
+use log::debug;
+use log::info;
+use log::warn;
+use mimosa_protocol::Error;
+use mimosa_protocol::Result;
+use mimosa_route::CallerLimits;
+use mimosa_route::DocumentFormat;
+use mimosa_transport::socket;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::answer;
+use crate::answer::Body;
+use crate::control_link;
+use crate::dialect::Dialect;
+use crate::directory::Directory;
+use crate::serve;
+use crate::settings::Settings;
+use crate::shared::Shared;
+
+/// Pause after a failed accept, as when the process is out of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time to send the head of a question for readiness.
+const READINESS_HEAD_TIME: Duration = Duration::from_secs(5);
+
+/// Starts gateways.
+pub struct Gateway;
+
+/// A running gateway.
+pub struct Running {
+    address: SocketAddr,
+    readiness: SocketAddr,
+    shared: Arc<Shared>,
+    stop: Arc<Notify>,
+    accepting: JoinHandle<()>,
+    background: Vec<JoinHandle<()>>,
+}
+
+impl Gateway {
+    /// Starts a gateway; it is ready once it knows routes and endpoints.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Network`] if an address cannot be bound.
+    pub async fn start(
+        settings: Settings,
+        dialect: Arc<dyn Dialect>,
+        format: Arc<dyn DocumentFormat>,
+    ) -> Result<Running> {
+        let (listener, address) = bind(settings.listen).await?;
+        let (asked, readiness) = bind(settings.readiness).await?;
+        let shared = Arc::new(Shared::new(settings, dialect, Directory::new(format)));
+        info!(
+            "event=start role=gateway instance={} callers={address} readiness={readiness}",
+            shared.settings.instance
+        );
+        let stop = Arc::new(Notify::new());
+        let background = vec![
+            tokio::spawn(control_link::run(Arc::clone(&shared))),
+            tokio::spawn(answer_readiness(asked, Arc::clone(&shared))),
+        ];
+        let accepting = tokio::spawn(accept(listener, Arc::clone(&shared), Arc::clone(&stop)));
+        Ok(Running {
+            address,
+            readiness,
+            shared,
+            stop,
+            accepting,
+            background,
+        })
+    }
+}
+
+impl Running {
+    /// Where callers connect.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Where the platform asks whether it is ready.
+    pub const fn readiness(&self) -> SocketAddr {
+        self.readiness
+    }
+
+    /// Is not ready any more, lets work in hand finish within the drain time, and stops.
+    pub async fn shutdown(self) {
+        info!(
+            "event=stop role=gateway instance={}",
+            self.shared.settings.instance
+        );
+        self.shared.draining.store(true, Ordering::Relaxed);
+        self.stop.notify_one();
+        if let Err(e) = self.accepting.await {
+            warn!("the accepting task failed: {e}");
+        }
+        for task in self.background {
+            task.abort();
+        }
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<(TcpListener, SocketAddr)> {
+    let cannot_listen = |source| Error::Network {
+        action: "listen on",
+        peer: address.to_string(),
+        source,
+    };
+    let listener = TcpListener::bind(address).await.map_err(cannot_listen)?;
+    let address = listener.local_addr().map_err(cannot_listen)?;
+    Ok((listener, address))
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>, stop: Arc<Notify>) {
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.notified() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::spawn(converse(stream, &shared, &graceful));
+            }
+            Err(e) => {
+                warn!("cannot accept a connection: {e}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    drain(listener, &shared, graceful).await;
+}
+
+/// Finishes what is in hand. The platform may still send new connections until it has seen that
+/// this instance is not ready: they are served too, one request each.
+async fn drain(listener: TcpListener, shared: &Arc<Shared>, graceful: GracefulShutdown) {
+    let late = GracefulShutdown::new();
+    let finished = timeout(shared.settings.drain_time, graceful.shutdown());
+    tokio::pin!(finished);
+    loop {
+        tokio::select! {
+            result = &mut finished => {
+                if result.is_err() {
+                    warn!("work in hand did not finish within the drain time");
+                }
+                break;
+            }
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    tokio::spawn(converse(stream, shared, &late));
+                }
+            }
+        }
+    }
+    if timeout(shared.settings.drain_time, late.shutdown())
+        .await
+        .is_err()
+    {
+        warn!("late work did not finish within the drain time");
+    }
+}
+
+fn converse(
+    stream: TcpStream,
+    shared: &Arc<Shared>,
+    graceful: &GracefulShutdown,
+) -> impl Future<Output = ()> + use<> {
+    socket::prepare(&stream);
+    let table = shared.directory.table();
+    let limits = table.map_or_else(CallerLimits::default, |table| table.configuration().limits);
+    let shared = Arc::clone(shared);
+    let service = service_fn(move |request| serve::answer(Arc::clone(&shared), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The wait for the next request counts as a part of the head's time.
+        .header_read_timeout(limits.idle_time.max(limits.head_time))
+        .max_buf_size(
+            usize::try_from(limits.head.0)
+                .unwrap_or(usize::MAX)
+                .max(8 << 10),
+        )
+        .serve_connection(TokioIo::new(stream), service);
+    let connection = graceful.watch(connection);
+    async move {
+        if let Err(e) = connection.await {
+            debug!("a connection ended: {e}");
+        }
+    }
+}
+
+async fn answer_readiness(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let shared = Arc::clone(&shared);
+        let service = service_fn(move |request| {
+            let response = readiness(&shared, &request);
+            async move { Ok::<_, Infallible>(response) }
+        });
+        tokio::spawn(async move {
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(READINESS_HEAD_TIME)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(e) = connection.await {
+                debug!("a connection for readiness ended: {e}");
+            }
+        });
+    }
+}
+
+fn readiness(shared: &Shared, request: &Request<Incoming>) -> Response<Body> {
+    let status = if !shared.dialect.is_readiness(request.uri().path()) {
+        StatusCode::NOT_FOUND
+    } else if shared.is_draining() || !shared.directory.is_complete() {
+        StatusCode::SERVICE_UNAVAILABLE
+    } else {
+        StatusCode::OK
+    };
+    let mut response = Response::new(answer::full(shared.dialect.problem(status, "readiness")));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/mimosa-gateway/src/settings.rs
@@ -0,0 +1,51 @@
+//! What a gateway is told at its start.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use mimosa_protocol::DataCentreId;
+use mimosa_protocol::InstanceId;
+
+/// The settings of a gateway.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The name of this instance.
+    pub instance: InstanceId,
+    /// The name of the system; control instances of another one refuse it.
+    pub cluster: String,
+    /// Where it stands.
+    pub data_centre: DataCentreId,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where the platform asks whether it is ready.
+    pub readiness: SocketAddr,
+    /// Control instances that are known at the start, named by their IP addresses.
+    pub seeds: BTreeSet<InstanceId>,
+    /// The port at which control instances listen to gateways.
+    pub control_port: u16,
+    /// Silence after which a control instance counts as lost.
+    pub control_silence: Duration,
+    /// Time that work in hand may take after a shutdown was asked.
+    pub drain_time: Duration,
+    /// The retries of each service at this gateway.
+    pub retries: Retries,
+}
+
+/// The retries of a service that its callers may cause.
+#[derive(Clone, Copy, Debug)]
+pub struct Retries {
+    /// Thousandths of a retry that each request earns.
+    pub per_request: u64,
+    /// Retries that may be saved up.
+    pub saved: u64,
+}
+
+impl Default for Retries {
+    fn default() -> Self {
+        Self {
+            per_request: 100,
+            saved: 4,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mimosa-gateway/src/shared.rs
@@ -0,0 +1,104 @@
+//! What all requests of a gateway share.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use mimosa_hold::retry::RetryBudget;
+use mimosa_hold::retry::RetrySettings;
+use mimosa_protocol::ServiceId;
+use mimosa_protocol::Timestamp;
+
+use crate::dialect::Dialect;
+use crate::directory::Directory;
+use crate::settings::Settings;
+
+/// What all requests share.
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) directory: Directory,
+    pub(crate) draining: AtomicBool,
+    retries: Mutex<HashMap<ServiceId, RetryBudget>>,
+    started: Instant,
+    base: Timestamp,
+    random: AtomicU64,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: Settings, dialect: Arc<dyn Dialect>, directory: Directory) -> Self {
+        let since_epoch = SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap_or_default();
+        let mut seed = [0; 8];
+        getrandom::fill(&mut seed).expect("the system gives random bytes");
+        Self {
+            settings,
+            dialect,
+            directory,
+            draining: AtomicBool::new(false),
+            retries: Mutex::default(),
+            started: Instant::now(),
+            base: Timestamp::ZERO + since_epoch,
+            random: AtomicU64::new(u64::from_le_bytes(seed)),
+        }
+    }
+
+    /// The present time: it starts at the time of day and never goes back.
+    pub(crate) fn now(&self) -> Timestamp {
+        self.base + self.started.elapsed()
+    }
+
+    /// A number that spreads choices; it guards nothing.
+    pub(crate) fn random(&self) -> u64 {
+        // Weyl sequence and the finalizer of SplitMix64.
+        const STEP: u64 = 0x9e37_79b9_7f4a_7c15;
+        let mut z = self.random.fetch_add(STEP, Ordering::Relaxed);
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request for a service: it earns a part of a retry.
+    pub(crate) fn count_request(&self, now: Timestamp, service: &ServiceId) {
+        self.with_budget(now, service, RetryBudget::succeeded);
+    }
+
+    /// Takes one retry for a service if there is one.
+    pub(crate) fn take_retry(&self, now: Timestamp, service: &ServiceId) -> bool {
+        self.with_budget(now, service, |budget| budget.take(now))
+    }
+
+    fn with_budget<T>(
+        &self,
+        now: Timestamp,
+        service: &ServiceId,
+        change: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        /// Time without any request in which one retry is earned.
+        const TRICKLE: Duration = Duration::from_secs(10);
+        let mut budgets = self.retries.lock().unwrap_or_else(PoisonError::into_inner);
+        let retries = self.settings.retries;
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            let settings = RetrySettings {
+                per_success: retries.per_request,
+                saved: retries.saved,
+                trickle: TRICKLE,
+                ..RetrySettings::default()
+            };
+            RetryBudget::new(now, settings)
+        });
+        change(budget)
+    }
+}
--- /dev/null
+++ b/crates/mimosa-route/tests/table.rs
@@ -0,0 +1,135 @@
+//! Which route, account and service a request gets.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use mimosa_route::Repeat;
+use mimosa_route::Route;
+use mimosa_route::RouteTable;
+use mimosa_route::RoutedAccount;
+use mimosa_route::RoutingConfiguration;
+use mimosa_route::WeightedService;
+use mimosa_route::check;
+use mimosa_route::check::Flaw;
+use mimosa_route::model::ColdStart;
+use mimosa_route::model::RoutedService;
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        repeat: Repeat::Idempotent,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(100),
+        gap_target: None,
+        priority: 1,
+        split: vec![part("desk", 1)],
+        max_attempts: 2,
+        open: false,
+        has_prompt: false,
+    }
+}
+
+fn part(service: &str, weight: u32) -> WeightedService {
+    WeightedService {
+        service: service.parse().unwrap(),
+        weight,
+    }
+}
+
+fn service(id: &str) -> RoutedService {
+    RoutedService {
+        id: id.parse().unwrap(),
+        health_path: "/healthz".to_owned(),
+        max_connections: 10,
+        cold_start: ColdStart::default(),
+        engine: None,
+    }
+}
+
+fn account(id: &str, key: &str) -> RoutedAccount {
+    RoutedAccount {
+        id: id.parse().unwrap(),
+        keys: vec![key.to_owned()],
+        priority: None,
+        quota: None,
+    }
+}
+
+fn configuration(routes: Vec<Route>) -> RoutingConfiguration {
+    RoutingConfiguration {
+        routes,
+        services: vec![service("desk"), service("verse")],
+        accounts: vec![account("orchid", "k1"), account("fern", "k2")],
+        ..RoutingConfiguration::default()
+    }
+}
+
+#[gtest]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = RouteTable::new(configuration(vec![
+        route("short", "a.example", "/x/"),
+        route("long", "a.example", "/x/y/"),
+        route("other", "b.example", "/x/y/z/"),
+    ]));
+    let found = |host: &str, path: &str| table.route(host, path).map(|route| route.name.as_str());
+    expect_that!(found("a.example", "/x/y/z/1"), some(eq("long")));
+    expect_that!(found("a.example:8360", "/x/1"), some(eq("short")));
+    expect_that!(found("A.Example", "/x/1"), some(eq("short")));
+    expect_that!(found("a.example", "/x"), none());
+    expect_that!(found("c.example", "/x/1"), none());
+}
+
+#[gtest]
+fn a_key_leads_to_its_account_alone() {
+    let table = RouteTable::new(configuration(Vec::new()));
+    let holder = table.holder("k2").map(|account| account.id.to_string());
+    expect_that!(holder, some(eq("fern")));
+    expect_that!(table.holder("k3"), none());
+}
+
+#[gtest]
+fn a_split_follows_its_weights() {
+    let mut split = route("split", "a.example", "/");
+    split.split = vec![part("desk", 90), part("verse", 0), part("other", 10)];
+    let picks: Vec<_> = (0..100).filter_map(|number| split.pick(number)).collect();
+    let count = |name: &str| picks.iter().filter(|id| id.as_str() == name).count();
+    expect_that!(
+        (count("desk"), count("verse"), count("other")),
+        eq((90, 0, 10))
+    );
+}
+
+#[gtest]
+fn each_flaw_is_named() {
+    let flaw = |change: fn(&mut RoutingConfiguration)| {
+        let mut cfg = configuration(vec![
+            route("r1", "a.example", "/x/"),
+            route("r2", "a.example", "/y/"),
+        ]);
+        change(&mut cfg);
+        check::check(&cfg)
+    };
+    expect_that!(flaw(|_| ()), ok(anything()));
+    expect_that!(
+        flaw(|cfg| cfg.routes[0].split[0] = part("gone", 1)),
+        err(matches_pattern!(Flaw::UnknownService { .. }))
+    );
+    expect_that!(
+        flaw(|cfg| cfg.routes[1].prefix = "/x/".to_owned()),
+        err(matches_pattern!(Flaw::SamePlace { .. }))
+    );
+    expect_that!(
+        flaw(|cfg| cfg.routes[0].split[0].weight = 0),
+        err(matches_pattern!(Flaw::NoWeight(_)))
+    );
+    expect_that!(
+        flaw(|cfg| cfg.routes[0].timeout = Duration::ZERO),
+        err(matches_pattern!(Flaw::NoTimeout(_)))
+    );
+    expect_that!(
+        flaw(|cfg| cfg.accounts[1].keys = vec!["k1".to_owned()]),
+        err(matches_pattern!(Flaw::SharedKey { .. }))
+    );
+}
--- a/crates/mimosa-schedule/src/lib.rs
+++ b/crates/mimosa-schedule/src/lib.rs
@@ -117,6 +117,8 @@
 pub mod action;
 pub mod event;
 pub mod fence;
+pub mod health;
+pub mod pick;
 pub mod scheduler;
 pub mod settings;
 pub mod succession;
--- /dev/null
+++ b/crates/mimosa-schedule/src/pick.rs
@@ -0,0 +1,65 @@
+//! Chooses an endpoint from what one gateway knows, without asking anybody.
+//!
+//! It answers the load of plain services and of models while no scheduler is reached: many small
+//! requests, each gateway seeing a part of them.
+
+use std::time::Duration;
+
+/// An endpoint that could take a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Candidate {
+    /// Work of this gateway that it has in hand: requests, or prompt tokens.
+    pub own: u64,
+    /// Work of all callers that it told of, as long as that is recent.
+    pub told: Option<u64>,
+    /// Work that it does at once without getting slower.
+    pub width: u64,
+    /// Usual time of an answer.
+    pub latency: Option<Duration>,
+    /// Recent part of failures, in thousandths.
+    pub failing_permille: u64,
+    /// Whether it could not be reached lately.
+    pub paused: bool,
+    /// Whether it stands in this gateway's data centre.
+    pub near: bool,
+}
+
+/// Latency assumed of an endpoint that has not answered yet.
+const UNKNOWN_LATENCY: Duration = Duration::from_millis(10);
+/// How much a failing endpoint's cost grows, in multiples at a failure part of one whole.
+const FAILURE_WEIGHT: u64 = 8;
+/// What the way to another data centre costs, in thousandths of the whole cost. It decides between
+/// endpoints that are otherwise alike: bytes between data centres are not free.
+const FAR_PERMILLE: u64 = 150;
+/// All of something, in thousandths.
+const WHOLE: u64 = 1_000;
+
+/// The place of the endpoint with the lowest cost; a random number decides between equal ones.
+/// Paused endpoints come last.
+pub fn pick(candidates: &[Candidate], random: u64) -> Option<usize> {
+    let shift = usize::try_from(random % candidates.len().max(1) as u64).ok()?;
+    (0..candidates.len())
+        .map(|place| (place + shift) % candidates.len())
+        .min_by_key(|place| {
+            let each = &candidates[*place];
+            (each.paused, cost(each))
+        })
+}
+
+/// Expected time of one more request, in microseconds, with what failures and distance add.
+fn cost(candidate: &Candidate) -> u64 {
+    let width = candidate.width.max(1);
+    let work = candidate.own.max(candidate.told.unwrap_or(0));
+    let load_permille = WHOLE + work * WHOLE / width;
+    let latency = candidate.latency.unwrap_or(UNKNOWN_LATENCY);
+    let latency = u64::try_from(latency.as_micros())
+        .unwrap_or(u64::MAX)
+        .max(1);
+    let failing_permille = WHOLE + candidate.failing_permille * FAILURE_WEIGHT;
+    let far_permille = WHOLE + if candidate.near { 0 } else { FAR_PERMILLE };
+    [load_permille, failing_permille, far_permille]
+        .iter()
+        .fold(latency, |cost, permille| {
+            cost.saturating_mul(*permille) / WHOLE
+        })
+}
--- /dev/null
+++ b/crates/mimosa-schedule/tests/pick.rs
@@ -0,0 +1,72 @@
+//! Choices of one gateway without a scheduler.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use mimosa_protocol::Timestamp;
+use mimosa_schedule::health::Health;
+use mimosa_schedule::pick::Candidate;
+use mimosa_schedule::pick::pick;
+
+fn idle() -> Candidate {
+    Candidate {
+        width: 6,
+        latency: Some(Duration::from_millis(15)),
+        ..Candidate::default()
+    }
+}
+
+#[gtest]
+fn equal_endpoints_share_the_work() {
+    let candidates = [idle(); 4];
+    let mut counts = [0; 4];
+    for random in 0..400 {
+        counts[pick(&candidates, random).unwrap()] += 1;
+    }
+    expect_that!(counts, eq([100; 4]));
+}
+
+#[gtest]
+fn a_near_endpoint_is_taken_until_it_is_busy() {
+    let near = Candidate {
+        near: true,
+        ..idle()
+    };
+    let busy = Candidate { own: 3, ..near };
+    expect_that!(pick(&[idle(), near], 0), some(eq(1)));
+    expect_that!(pick(&[idle(), busy], 0), some(eq(0)));
+}
+
+#[gtest]
+fn failures_and_pauses_turn_work_away() {
+    let failing = Candidate {
+        failing_permille: 400,
+        ..idle()
+    };
+    let paused = Candidate {
+        paused: true,
+        ..idle()
+    };
+    expect_that!(pick(&[failing, idle()], 0), some(eq(1)));
+    expect_that!(pick(&[paused, failing], 0), some(eq(1)));
+    expect_that!(pick(&[paused], 0), some(eq(0)));
+    expect_that!(pick(&[], 0), none());
+}
+
+#[gtest]
+fn an_endpoint_that_got_better_is_used_again() {
+    let mut health = Health::default();
+    let start = Timestamp::from_secs(100);
+    for _ in 0..16 {
+        health.failed(start);
+    }
+    health.lost(start);
+    expect_that!(health.failing_permille(start), gt(700));
+    expect_that!(
+        health.is_paused(start + Duration::from_millis(100)),
+        eq(true)
+    );
+    let later = start + Duration::from_secs(20);
+    expect_that!(health.is_paused(later), eq(false));
+    expect_that!(health.failing_permille(later), lt(50));
+}
--- a/crates/mimosa-state/src/command.rs
+++ b/crates/mimosa-state/src/command.rs
@@ -1,5 +1,6 @@
 //! What enters the replicated log, and what comes back.
 
+use mimosa_protocol::DataCentreId;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::data;
@@ -14,6 +15,7 @@
 use crate::plan::Plan;
 use crate::plan::PlanId;
 use crate::refusal::Refused;
+use crate::routing::AdoptedDocument;
 
 data! {
     /// One entry of the replicated log.
@@ -48,6 +50,15 @@
         LedgerFinish(LedgerFinish),
         /// Changes nothing.
         Nothing,
+        /// Adopts a routing document if its version is higher than the one in force.
+        AdoptRouting(AdoptedDocument),
+        /// Takes a data centre out of routing, or returns it.
+        SetDataCentreOut {
+            /// The data centre.
+            data_centre: DataCentreId,
+            /// Whether it gets no new work.
+            out: bool,
+        },
     }
 
     /// What a command led to.
@@ -62,6 +73,11 @@
         LedgerFinished,
         /// Nothing changed.
         Nothing,
+        /// The answer to a routing change.
+        RoutingChanged {
+            /// Whether the state is another one now.
+            changed: bool,
+        },
     }
 }
 
--- a/crates/mimosa-state/src/lib.rs
+++ b/crates/mimosa-state/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod plan;
 pub mod planning;
 pub mod refusal;
+pub mod routing;
 pub mod undo;
 
 pub use crate::command::Command;
--- a/crates/mimosa-state/src/machine.rs
+++ b/crates/mimosa-state/src/machine.rs
@@ -7,6 +7,7 @@
 use mimosa_protocol::Configuration;
 use mimosa_protocol::FencingNumber;
 use mimosa_protocol::InstanceId;
+use mimosa_protocol::OrderNumber;
 use mimosa_protocol::Revision;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::change::Delta;
@@ -35,12 +36,16 @@
 use crate::plan::PlanId;
 use crate::planning;
 use crate::refusal::Refused;
+use crate::routing::RoutingState;
 use crate::undo;
 
 /// Deltas kept for entries that are a little behind; one that is further behind gets the whole
 /// configuration.
 pub const MAX_DELTAS: usize = 256;
 
+/// Who the audit trail names for routing changes: the outside system carries no operator's name.
+const ROUTING_OPERATOR: &str = "routing";
+
 /// Everything that the log decides.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Machine {
@@ -55,6 +60,7 @@
     audit: AuditTrail,
     ledger: Ledger,
     engine_orders: EngineOrders,
+    routing: RoutingState,
 }
 
 impl Machine {
@@ -80,6 +86,17 @@
                 CommandResult::LedgerFinished
             }
             Operation::Nothing => CommandResult::Nothing,
+            Operation::AdoptRouting(document) => {
+                let action = format!("adopt routing version {}", document.version);
+                let changed = self.routing.adopt(index, document);
+                self.routing_changed(action, changed)
+            }
+            Operation::SetDataCentreOut { data_centre, out } => {
+                let word = if out { "take out" } else { "return" };
+                let action = format!("{word} data centre {data_centre}");
+                let changed = self.routing.set_out(index, data_centre, out);
+                self.routing_changed(action, changed)
+            }
         }
     }
 
@@ -126,6 +143,30 @@
         &self.engine_orders
     }
 
+    /// The adopted routing document and the data centres that are out.
+    pub const fn routing(&self) -> &RoutingState {
+        &self.routing
+    }
+
+    fn routing_changed(&mut self, action: String, changed: bool) -> CommandResult {
+        if changed {
+            let operator = ROUTING_OPERATOR.parse().expect("the name is valid");
+            self.audit.append(AuditRecord {
+                sequence: 0,
+                at: self.now,
+                operator,
+                number: OrderNumber(self.applied),
+                action,
+                plan: None,
+                lines: Vec::new(),
+                result: AuditResult::Accepted {
+                    revision: self.configuration.revision,
+                },
+            });
+        }
+        CommandResult::RoutingChanged { changed }
+    }
+
     /// The state as bytes of a snapshot.
     pub fn encode(&self) -> Vec<u8> {
         postcard::to_stdvec(self).expect("the state has no unencodable part")
--- a/crates/mimosa-transport/src/lib.rs
+++ b/crates/mimosa-transport/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod datagram;
 pub mod frame;
 pub mod link;
+pub mod socket;
--- a/crates/mimosa-transport/src/link.rs
+++ b/crates/mimosa-transport/src/link.rs
@@ -24,6 +24,7 @@
 
 use crate::backoff::Backoff;
 use crate::frame;
+use crate::socket;
 
 /// How a link behaves.
 #[derive(Clone, Debug)]
@@ -181,9 +182,7 @@
         .await
         .map_err(|_| Disconnect::ConnectTimeout)?
         .map_err(Disconnect::ConnectFailed)?;
-    stream
-        .set_nodelay(true)
-        .map_err(Disconnect::ConnectFailed)?;
+    socket::prepare(&stream);
     Ok(stream)
 }
 
--- a/src/command.rs
+++ b/src/command.rs
@@ -11,6 +11,7 @@
 mod control;
 mod demo;
 mod entry;
+mod gateway;
 mod key;
 pub mod operator;
 mod standin;
@@ -34,9 +35,10 @@
     pub run: fn(Parser) -> miette::Result<ExitCode>,
 }
 
-static COMMANDS: [Command; 6] = [
+static COMMANDS: [Command; 7] = [
     demo::COMMAND,
     entry::COMMAND,
+    gateway::COMMAND,
     control::COMMAND,
     check::COMMAND,
     key::COMMAND,
--- a/src/command/control.rs
+++ b/src/command/control.rs
@@ -2,12 +2,18 @@
 
 use std::path::Path;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use lexopt::Arg;
 use lexopt::Parser;
 use lexopt::ValueExt;
+use mimosa_config::ControlRouting;
 use mimosa_config::Settings;
 use mimosa_control::ControlServer;
+use mimosa_control::routing::Outside;
+use mimosa_platform::InstanceList;
+use mimosa_platform::OperatorCalls;
+use mimosa_platform::PlatformDocument;
 use mimosa_protocol::Error;
 
 use super::Command;
@@ -36,7 +42,7 @@
     };
     let settings = Settings::load(Path::new(&file))?;
     logging::start(&settings.log)?;
-    runtime::run(serve(settings, found))
+    runtime::run_on(settings.runtime, serve(settings, found))
 }
 
 /// The settings file and whether to found a system, or `None` if the help was printed.
@@ -65,11 +71,16 @@
     let control = settings
         .control
         .ok_or_else(|| usage(COMMAND.name, "the file has no [control]"))?;
-    let control = mimosa_control::Settings {
-        found,
-        ..settings::control(&settings.instance, control)
+    let outside = control.routing.as_ref().map(outside);
+    let mut control = settings::control(&settings.instance, control);
+    control.found |= found;
+    let running = match outside {
+        Some(outside) => {
+            let bound = ControlServer::bind(control).await?;
+            bound.start_routing(outside).await?
+        }
+        None => ControlServer::start(control).await?,
     };
-    let running = ControlServer::start(control).await?;
     println!("admin={}", running.admin_address());
     println!("entries={}", running.entry_address());
     println!("peers={}", running.peer_address());
@@ -77,3 +88,13 @@
     running.shutdown().await;
     Ok(ExitCode::SUCCESS)
 }
+
+/// The platform's side of a control instance of gateways.
+fn outside(routing: &ControlRouting) -> Outside {
+    Outside {
+        format: Arc::new(PlatformDocument),
+        source: Arc::new(InstanceList::new(routing.endpoint_list)),
+        operators: Arc::new(OperatorCalls),
+        list_interval: routing.list_interval,
+    }
+}
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -3,6 +3,8 @@
 use std::process::ExitCode;
 
 use miette::IntoDiagnostic;
+use mimosa_config::RuntimeSettings;
+use tokio::runtime::Builder;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -12,7 +14,26 @@
 ///
 /// If the runtime cannot start, or whatever the daemon reports.
 pub fn run(daemon: impl Future<Output = miette::Result<ExitCode>>) -> miette::Result<ExitCode> {
-    tokio::runtime::Builder::new_multi_thread()
+    run_on(RuntimeSettings::default(), daemon)
+}
+
+/// Runs a daemon on as many threads as its settings say, until it ends.
+///
+/// # Errors
+///
+/// If the runtime cannot start, or whatever the daemon reports.
+pub fn run_on(
+    settings: RuntimeSettings,
+    daemon: impl Future<Output = miette::Result<ExitCode>>,
+) -> miette::Result<ExitCode> {
+    let mut builder = match settings.threads {
+        1 => Builder::new_current_thread(),
+        _ => Builder::new_multi_thread(),
+    };
+    if settings.threads > 1 {
+        builder.worker_threads(settings.threads);
+    }
+    builder
         .enable_all()
         .build()
         .into_diagnostic()?
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,10 +1,24 @@
 //! From a settings file to what the processes are told.
 
+use std::collections::BTreeSet;
+use std::net::IpAddr;
+
 use mimosa_config::ControlSettings;
+use mimosa_config::GatewaySettings;
 use mimosa_config::InstanceSettings;
+use mimosa_control::settings::Discovery;
+use mimosa_gateway::settings::Retries;
+use mimosa_protocol::InstanceId;
 
 /// What a control instance is told.
 pub fn control(instance: &InstanceSettings, settings: ControlSettings) -> mimosa_control::Settings {
+    let routing = settings.routing.unwrap_or_default();
+    let seeds: BTreeSet<InstanceId> = instances(&routing.seeds).collect();
+    let has_seeds = !seeds.is_empty();
+    let discovery = has_seeds.then(|| Discovery {
+        seeds: seeds.clone(),
+        port: settings.peer_listen.port(),
+    });
     let replicas = settings.replicas.into_iter();
     let operators = settings.operators.into_iter();
     mimosa_control::Settings {
@@ -20,8 +34,36 @@
         operators: operators
             .map(|operator| (operator.id, operator.key_digest))
             .collect(),
+        found: routing.found && seeds.contains(&instance.id),
+        founders: seeds,
+        discovery,
         heartbeat: settings.heartbeat,
         key_lease: settings.key_lease,
         ..mimosa_control::Settings::default()
     }
 }
+
+/// What a gateway is told.
+pub fn gateway(instance: &InstanceSettings, settings: GatewaySettings) -> mimosa_gateway::Settings {
+    mimosa_gateway::Settings {
+        instance: instance.id.clone(),
+        cluster: instance.cluster.clone(),
+        data_centre: instance.data_centre.clone(),
+        listen: settings.listen,
+        readiness: settings.readiness,
+        seeds: instances(&settings.seeds).collect(),
+        control_port: settings.control_port,
+        control_silence: settings.control_silence,
+        drain_time: settings.drain_time,
+        retries: Retries {
+            per_request: settings.retry_permille,
+            saved: settings.saved_retries,
+        },
+    }
+}
+
+/// Instances that are named by their IP addresses.
+fn instances(addresses: &[IpAddr]) -> impl Iterator<Item = InstanceId> {
+    let names = addresses.iter().map(ToString::to_string);
+    names.filter_map(|name| name.parse().ok())
+}
