Place the requests of a model from one scheduler at the leader

Change: the leader forecasts the memory of each decode endpoint and starts a prefill only when its decode has room.

--- a/crates/mimosa-control/src/routing.rs
+++ b/crates/mimosa-control/src/routing.rs
@@ -20,6 +20,7 @@
 use crate::replicator::Replicator;
 use crate::shared::Shared;
 
+pub mod dispatch;
 pub mod gateway_port;
 pub mod listing;
 
--- /dev/null
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -0,0 +1,362 @@
+//! The leader's schedulers: one for each service of a model, over all its endpoints.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+use mimosa_protocol::DataCentreId;
+use mimosa_protocol::InstanceId;
+use mimosa_protocol::ServiceId;
+use mimosa_protocol::Timestamp;
+use mimosa_protocol::configuration::EndpointState;
+use mimosa_route::DocumentFormat;
+use mimosa_route::EndpointList;
+use mimosa_route::RouteTable;
+use mimosa_route::message::ControlMessage;
+use mimosa_route::message::GatewayMessage;
+use mimosa_schedule::fleet::Action;
+use mimosa_schedule::fleet::Event;
+use mimosa_schedule::fleet::Fleet;
+use mimosa_schedule::fleet::Settings;
+use mimosa_schedule::fleet::Ticket;
+use mimosa_schedule::fleet::View;
+use mimosa_schedule::fleet::ViewEndpoint;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+use tokio::time::timeout;
+
+use crate::replicator::Replicator;
+use crate::shared::Shared;
+
+/// Time in which gateways tell a new leader what they hold, before it places anything.
+const HANDOVER_TIME: Duration = Duration::from_millis(200);
+/// Time between two looks at who leads.
+const LOOK_PERIOD: Duration = Duration::from_millis(100);
+/// Time after which what a gateway without a connection held counts as gone. A gateway that only
+/// lost its connection is back sooner.
+const GATEWAY_GRACE: Duration = Duration::from_secs(3);
+
+/// The schedulers of the leader.
+pub struct Dispatcher {
+    replicator: Arc<dyn Replicator>,
+    shared: Arc<Shared>,
+    format: Arc<dyn DocumentFormat>,
+    endpoints: watch::Receiver<Arc<EndpointList>>,
+    started: std::time::Instant,
+    changed: Notify,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    leads: bool,
+    lead_since: Timestamp,
+    fleets: HashMap<ServiceId, Fleet>,
+    services: HashMap<Ticket, ServiceId>,
+    gateways: HashMap<InstanceId, Connected>,
+    lost: HashMap<InstanceId, Timestamp>,
+    table: RouteTable,
+    list: Arc<EndpointList>,
+    out: BTreeSet<DataCentreId>,
+    /// The log index of the routing state that `table` and `out` come from.
+    routing: Option<u64>,
+}
+
+/// A gateway's connection.
+struct Connected {
+    connection: u64,
+    outbox: mpsc::Sender<ControlMessage>,
+}
+
+impl Dispatcher {
+    /// A dispatcher that does not lead yet.
+    pub fn new(
+        replicator: Arc<dyn Replicator>,
+        shared: Arc<Shared>,
+        format: Arc<dyn DocumentFormat>,
+        endpoints: watch::Receiver<Arc<EndpointList>>,
+    ) -> Self {
+        Self {
+            replicator,
+            shared,
+            format,
+            endpoints,
+            started: std::time::Instant::now(),
+            changed: Notify::new(),
+            inner: Mutex::default(),
+        }
+    }
+
+    /// Wakes the schedulers when they ask for it, until the task is aborted.
+    pub async fn run(self: Arc<Self>) {
+        loop {
+            let wake = self.look();
+            let until = Instant::now() + wake.since(self.now());
+            let changed = self.changed.notified();
+            // Whichever comes first: the next look is due either way.
+            timeout(LOOK_PERIOD, async {
+                tokio::select! {
+                    () = sleep_until(until) => {}
+                    () = changed => {}
+                }
+            })
+            .await
+            .ok();
+        }
+    }
+
+    /// Takes the connection of a gateway. Returns its number.
+    pub fn connected(&self, gateway: &InstanceId, outbox: mpsc::Sender<ControlMessage>) -> u64 {
+        let mut inner = self.lock();
+        let old = inner.gateways.get(gateway);
+        let connection = old.map_or(0, |old| old.connection) + 1;
+        let connected = Connected { connection, outbox };
+        inner.gateways.insert(gateway.clone(), connected);
+        inner.lost.remove(gateway);
+        connection
+    }
+
+    /// The connection of a gateway ended.
+    pub fn disconnected(&self, gateway: &InstanceId, connection: u64) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let is_last = inner
+            .gateways
+            .get(gateway)
+            .is_some_and(|known| known.connection == connection);
+        if is_last {
+            inner.lost.insert(gateway.clone(), now + GATEWAY_GRACE);
+        }
+    }
+
+    /// Takes in what a gateway says.
+    pub fn take_in(&self, gateway: &InstanceId, message: GatewayMessage) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let ticket = |number| Ticket {
+            gateway: gateway.clone(),
+            number,
+        };
+        match message {
+            GatewayMessage::Ask { ask, .. } if !inner.leads => {
+                let number = ask.ticket.number;
+                inner.send(gateway, ControlMessage::NotLeading { number });
+            }
+            GatewayMessage::Ask { service, ask } => {
+                let ticket = ask.ticket.clone();
+                inner.services.insert(ticket.clone(), service.clone());
+                inner.handle(now, &service, Event::Ask(ask));
+                if inner.services.contains_key(&ticket) {
+                    let number = ticket.number;
+                    inner.send(gateway, ControlMessage::Queued { number });
+                }
+            }
+            GatewayMessage::Held { service, held } => {
+                inner
+                    .services
+                    .insert(held.ask.ticket.clone(), service.clone());
+                inner.handle(now, &service, Event::Held(held));
+            }
+            GatewayMessage::Prefilled { number, took } => {
+                let ticket = ticket(number);
+                inner.tell(now, &ticket.clone(), Event::Prefilled { ticket, took });
+            }
+            GatewayMessage::Started { number } => {
+                let ticket = ticket(number);
+                inner.tell(now, &ticket.clone(), Event::Started { ticket });
+            }
+            GatewayMessage::Ended { number, end } => {
+                let ticket = ticket(number);
+                inner.tell(
+                    now,
+                    &ticket.clone(),
+                    Event::Ended {
+                        ticket: ticket.clone(),
+                        end,
+                    },
+                );
+                inner.services.remove(&ticket);
+            }
+            GatewayMessage::Hello { .. } | GatewayMessage::WantDocument => {}
+        }
+        drop(inner);
+        self.changed.notify_one();
+    }
+
+    /// Looks at who leads, what is configured, and the time. Returns when to look again.
+    fn look(&self) -> Timestamp {
+        let now = self.now();
+        let leads = self.replicator.status().role == "leader";
+        let mut inner = self.lock();
+        if leads != inner.leads {
+            info!("scheduler={}", if leads { "started" } else { "stopped" });
+            inner.leads = leads;
+            inner.lead_since = now;
+            inner.fleets.clear();
+            inner.services.clear();
+            inner.routing = None;
+        }
+        if !leads {
+            return now + LOOK_PERIOD;
+        }
+        self.configure(now, &mut inner);
+        inner.forget_lost(now);
+        let services: Vec<ServiceId> = inner.fleets.keys().cloned().collect();
+        for service in &services {
+            inner.handle(now, service, Event::Tick);
+        }
+        let wakes = inner.fleets.values().filter_map(|each| each.next_wake(now));
+        wakes.min().unwrap_or(now + LOOK_PERIOD)
+    }
+
+    fn configure(&self, now: Timestamp, inner: &mut Inner) {
+        let list = Arc::clone(&self.endpoints.borrow());
+        let changed = self.shared.read(|machine| machine.routing().changed());
+        if inner.routing == Some(changed) && Arc::ptr_eq(&inner.list, &list) {
+            return;
+        }
+        if inner.routing != Some(changed) {
+            let (document, out) = self.shared.read(|machine| {
+                let routing = machine.routing();
+                let document = routing
+                    .document()
+                    .map(|document| Arc::clone(&document.bytes));
+                (document, routing.out().clone())
+            });
+            match document.map(|document| self.format.read(&document)) {
+                Some(Ok(cfg)) => inner.table = RouteTable::new(cfg),
+                Some(Err(flaw)) => warn!("the adopted document cannot be read: {flaw}"),
+                None => {}
+            }
+            inner.out = out;
+            inner.routing = Some(changed);
+        }
+        inner.list = list;
+        inner.configure_fleets(now);
+    }
+
+    fn now(&self) -> Timestamp {
+        // Only spans of time count here.
+        Timestamp::from_secs(1_000) + self.started.elapsed()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn configure_fleets(&mut self, now: Timestamp) {
+        let silent_until = self.lead_since + HANDOVER_TIME;
+        let services = self.table.configuration().services.iter();
+        let views: Vec<(ServiceId, View)> = services
+            .filter_map(|service| {
+                let engine = service.engine?;
+                let view = View {
+                    memory: engine.memory,
+                    slots: engine.slots,
+                    endpoints: self.view_endpoints(now, &service.id),
+                };
+                Some((service.id.clone(), view))
+            })
+            .collect();
+        for (service, view) in views {
+            let fleet = self
+                .fleets
+                .entry(service.clone())
+                .or_insert_with(|| Fleet::new(Settings::default(), silent_until));
+            let actions = fleet.handle(now, Event::Configure(view));
+            self.carry_out(actions);
+        }
+    }
+
+    fn view_endpoints(&self, now: Timestamp, service: &ServiceId) -> Vec<ViewEndpoint> {
+        let listed = self.list.endpoints.iter();
+        listed
+            .filter(|each| each.service == *service && each.state == EndpointState::Active)
+            .filter(|each| !self.out.contains(&each.data_centre))
+            .map(|each| ViewEndpoint {
+                id: each.id.clone(),
+                data_centre: each.data_centre.clone(),
+                role: each.role,
+                cold_until: now + each.cold_left,
+            })
+            .collect()
+    }
+
+    fn handle(&mut self, now: Timestamp, service: &ServiceId, event: Event) {
+        let silent_until = self.lead_since + HANDOVER_TIME;
+        let fleet = self
+            .fleets
+            .entry(service.clone())
+            .or_insert_with(|| Fleet::new(Settings::default(), silent_until));
+        let actions = fleet.handle(now, event);
+        self.carry_out(actions);
+    }
+
+    fn tell(&mut self, now: Timestamp, ticket: &Ticket, event: Event) {
+        if let Some(service) = self.services.get(ticket).cloned() {
+            self.handle(now, &service, event);
+        }
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Place { ticket, placement } => {
+                    let number = ticket.number;
+                    let message = ControlMessage::Placed { number, placement };
+                    self.send(&ticket.gateway, message);
+                }
+                Action::Refuse {
+                    ticket,
+                    why,
+                    retry_after,
+                } => {
+                    self.services.remove(&ticket);
+                    let message = ControlMessage::Unplaced {
+                        number: ticket.number,
+                        why,
+                        retry_after,
+                    };
+                    self.send(&ticket.gateway, message);
+                }
+            }
+        }
+    }
+
+    fn forget_lost(&mut self, now: Timestamp) {
+        let lost = self.lost.iter().filter(|(_, at)| now >= **at);
+        let lost: Vec<InstanceId> = lost.map(|(gateway, _)| gateway.clone()).collect();
+        for gateway in lost {
+            info!("gateway={gateway} state=forgotten");
+            self.lost.remove(&gateway);
+            self.gateways.remove(&gateway);
+            self.services.retain(|ticket, _| ticket.gateway != gateway);
+            let services: Vec<ServiceId> = self.fleets.keys().cloned().collect();
+            for service in &services {
+                let gateway = gateway.clone();
+                self.handle(now, service, Event::GatewayLost { gateway });
+            }
+        }
+    }
+
+    fn send(&self, gateway: &InstanceId, message: ControlMessage) {
+        let sent = self
+            .gateways
+            .get(gateway)
+            .map(|known| known.outbox.try_send(message));
+        if !matches!(sent, Some(Ok(()))) {
+            warn!("gateway={gateway} message=dropped");
+        }
+    }
+}
--- a/crates/mimosa-control/src/routing/gateway_port.rs
+++ b/crates/mimosa-control/src/routing/gateway_port.rs
@@ -23,14 +23,15 @@
 use tokio::time::timeout;
 
 use crate::replicator::Replicator;
+use crate::routing::dispatch::Dispatcher;
 use crate::shared::Shared;
 
 /// How long a gateway may take to say who it is.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long one message may take to leave.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
-/// Messages of a gateway that wait to be handled.
-const QUEUED_MESSAGES: usize = 64;
+/// Messages that wait to be written to one gateway.
+const QUEUED_MESSAGES: usize = 1_024;
 
 /// What every connection of a gateway needs.
 #[derive(Clone)]
@@ -41,6 +42,8 @@
     pub replicator: Arc<dyn Replicator>,
     /// The applied state.
     pub shared: Arc<Shared>,
+    /// The schedulers.
+    pub dispatcher: Arc<Dispatcher>,
     /// The endpoints.
     pub endpoints: watch::Receiver<Arc<EndpointList>>,
     /// Time between two heartbeats.
@@ -80,18 +83,27 @@
         info!("gateway={instance} state=connected");
         let (mut reader, writer) = stream.into_split();
         let (tx, messages) = mpsc::channel(QUEUED_MESSAGES);
-        let reading = async move {
+        let dispatcher = Arc::clone(&self.dispatcher);
+        let connection = dispatcher.connected(&instance, tx.clone());
+        let reading = async {
             while let Some(message) = frame::read(&mut reader).await? {
-                if tx.send(message).await.is_err() {
-                    break;
+                if matches!(message, GatewayMessage::WantDocument) {
+                    if let Some(document) = self.document()
+                        && tx.send(document).await.is_err()
+                    {
+                        break;
+                    }
+                } else {
+                    dispatcher.take_in(&instance, message);
                 }
             }
             Ok(())
         };
         let ended = tokio::select! {
             ended = reading => ended,
-            ended = self.write(writer, messages) => ended,
+            ended = self.clone().write(writer, messages) => ended,
         };
+        dispatcher.disconnected(&instance, connection);
         info!("gateway={instance} state=disconnected");
         ended
     }
@@ -99,7 +111,7 @@
     async fn write(
         mut self,
         mut writer: OwnedWriteHalf,
-        mut messages: mpsc::Receiver<GatewayMessage>,
+        mut messages: mpsc::Receiver<ControlMessage>,
     ) -> Result<()> {
         let mut routing = self.shared.routing_changes();
         let mut ticks = interval(self.heartbeat);
@@ -117,11 +129,7 @@
                     ControlMessage::Endpoints(list)
                 }
                 message = messages.recv() => match message {
-                    Some(GatewayMessage::WantDocument) => match self.document() {
-                        Some(document) => document,
-                        None => continue,
-                    },
-                    Some(_) => continue,
+                    Some(message) => message,
                     None => return Ok(()),
                 },
             };
--- a/crates/mimosa-control/src/server.rs
+++ b/crates/mimosa-control/src/server.rs
@@ -39,6 +39,7 @@
 use crate::replicator::replicated::disk::Opened;
 use crate::routing::Outside;
 use crate::routing::RoutingOrders;
+use crate::routing::dispatch::Dispatcher;
 use crate::routing::gateway_port::GatewayPort;
 use crate::routing::listing;
 use crate::settings::Settings;
@@ -282,7 +283,15 @@
             published,
         );
         self.tasks.spawn(reading);
+        let dispatcher = Arc::new(Dispatcher::new(
+            Arc::clone(replicator),
+            Arc::clone(&self.shared),
+            Arc::clone(&outside.format),
+            endpoints.clone(),
+        ));
+        self.tasks.spawn(Arc::clone(&dispatcher).run());
         let port = GatewayPort {
+            dispatcher,
             cluster: self.settings.cluster.clone(),
             replicator: Arc::clone(replicator),
             shared: Arc::clone(&self.shared),
--- a/crates/mimosa-gateway/src/control_link.rs
+++ b/crates/mimosa-gateway/src/control_link.rs
@@ -64,10 +64,13 @@
                 Event::Connected(tx) => {
                     info!("dependency=control instance={instance} state=connected");
                     hello(&shared, &tx);
+                    shared.dispatch.connected(&instance, tx.clone());
+                    shared.dispatch.tell_held(shared.now(), &instance);
                     outbox = Some(tx);
                 }
                 Event::Disconnected(why) => {
                     if outbox.take().is_some() {
+                        shared.dispatch.disconnected(&instance);
                         warn!("dependency=control instance={instance} state=lost reason=\"{why}\"");
                     }
                 }
@@ -78,6 +81,7 @@
             }
         }
         if outbox.is_some() {
+            shared.dispatch.disconnected(&instance);
             warn!("dependency=control instance={instance} state=lost reason=\"silence\"");
         }
     }
@@ -95,10 +99,20 @@
             if directory.take_state(&state) {
                 send(outbox, GatewayMessage::WantDocument);
             }
+            let leader = directory.leader();
+            shared.dispatch.leader_is(shared.now(), leader.as_ref());
             heard.send(state.members).ok();
         }
         ControlMessage::Document { version, bytes } => directory.take_document(version, &bytes),
         ControlMessage::Endpoints(list) => directory.take_endpoints(shared.now(), &list),
+        ControlMessage::Queued { number } => shared.dispatch.queued(number),
+        ControlMessage::Placed { number, placement } => shared.dispatch.placed(number, placement),
+        ControlMessage::Unplaced {
+            number,
+            why,
+            retry_after,
+        } => shared.dispatch.unplaced(number, why, retry_after),
+        ControlMessage::NotLeading { number } => shared.dispatch.not_leading(number),
     }
 }
 
--- a/crates/mimosa-gateway/src/dialect.rs
+++ b/crates/mimosa-gateway/src/dialect.rs
@@ -23,6 +23,8 @@
     pub prompt: Option<Tokens>,
     /// Most output tokens.
     pub max_output: Option<Tokens>,
+    /// The caller's estimate of the output tokens.
+    pub expected_output: Option<Tokens>,
 }
 
 /// One call to an endpoint.
--- a/crates/mimosa-gateway/src/directory.rs
+++ b/crates/mimosa-gateway/src/directory.rs
@@ -134,6 +134,11 @@
         self.endpoints.load_full()
     }
 
+    /// The control instance that leads, as far as it is known.
+    pub(crate) fn leader(&self) -> Option<InstanceId> {
+        self.update().leader.clone()
+    }
+
     /// Whether requests can be served.
     pub(crate) fn is_complete(&self) -> bool {
         self.table.load().is_some() && self.endpoints.load().list.term > 0
@@ -232,6 +237,13 @@
 }
 
 impl Endpoints {
+    /// An endpoint that takes new work.
+    pub(crate) fn get(&self, id: &EndpointId) -> Option<&Arc<EndpointEntry>> {
+        self.known
+            .get(id)
+            .filter(|entry| entry.listed.state == EndpointState::Active)
+    }
+
     /// The endpoints that take new work, of every service.
     pub(crate) fn active(&self) -> impl Iterator<Item = &Arc<EndpointEntry>> {
         self.known
--- a/crates/mimosa-gateway/src/lib.rs
+++ b/crates/mimosa-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod connection;
 mod control_link;
 mod directory;
+mod dispatch;
 mod head;
 mod model;
 mod plain;
--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -12,7 +12,13 @@
 use hyper::header;
 use hyper::header::HeaderValue;
 use log::info;
+use mimosa_protocol::Timestamp;
+use mimosa_protocol::Tokens;
 use mimosa_protocol::configuration::EndpointRole;
+use mimosa_route::Route;
+use mimosa_schedule::fleet::Ask;
+use mimosa_schedule::fleet::RunEnd;
+use mimosa_schedule::fleet::Unplaced;
 use tokio::time::timeout;
 
 use crate::answer::Body;
@@ -20,8 +26,12 @@
 use crate::dialect::KvSource;
 use crate::dialect::Step;
 use crate::directory::EndpointEntry;
+use crate::dispatch;
+use crate::dispatch::Run;
+use crate::dispatch::Verdict;
 use crate::head::Identified;
 use crate::relay;
+use crate::relay::StreamInfo;
 use crate::shared::Shared;
 use crate::upstream;
 use crate::upstream::CallFailure;
@@ -29,33 +39,35 @@
 
 /// Largest answer to a prefill, in bytes.
 const MAX_PREFILL_ANSWER: usize = 16 << 10;
-/// Prefill endpoints that are tried for one request: the second one covers a loss, more would read
-/// the prompt in vain while the caller waits.
-const MAX_PREFILLS: usize = 2;
 /// When callers come back after no endpoint had room for their prompt.
 const BUSY_RETRY: Duration = Duration::from_millis(500);
 /// Time for the call that frees a KV cache.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Where a request runs.
+struct Places {
+    prefill: Option<Arc<EndpointEntry>>,
+    decode: Arc<EndpointEntry>,
+    run: Option<Run>,
+}
+
 /// Runs a request of a model.
 pub(crate) async fn serve(
     shared: &Arc<Shared>,
     request: &Identified,
     whole: &Whole,
 ) -> Result<Response<Body>, Failure> {
-    let prefilled = prefill(shared, request, whole).await?;
+    let places = place(shared, request).await?;
+    let prefilled = match &places.prefill {
+        Some(endpoint) => Some(prefill(shared, request, whole, endpoint, &places).await?),
+        None => None,
+    };
     let step = prefilled
         .as_ref()
         .map_or(Step::Whole, |held| Step::Decode(held.source()));
-    let now = shared.now();
-    let endpoints = shared.directory.endpoints();
-    let role = EndpointRole::Decode;
-    let Some(endpoint) = upstream::choose(shared, now, &endpoints, request, role, &[]) else {
-        return Err(not_run("no decode endpoint"));
-    };
-    let left = request.time_left(now);
-    let opened = upstream::call(shared, request, whole, &endpoint, step, left).await;
-    match opened {
+    let endpoint = &places.decode;
+    let left = request.time_left(shared.now());
+    match upstream::call(shared, request, whole, endpoint, step, left).await {
         Ok(opened) => {
             if let Some(held) = prefilled {
                 held.taken();
@@ -66,14 +78,28 @@
                 endpoint.listed.id,
                 shared.now().since(request.arrived).as_millis()
             );
-            let name = request.facts.attempt.clone();
-            Ok(relay::stream(shared, opened, name))
+            let engine = request.table.service(&request.service);
+            let engine = engine.and_then(|service| service.engine);
+            let info = StreamInfo {
+                request: request.facts.attempt.clone(),
+                run: places.run,
+                tokens_per_event: engine.map_or(Tokens(1), |engine| engine.tokens_per_event),
+            };
+            Ok(relay::stream(shared, opened, info))
         }
         Err(failure) => {
             info!(
                 "request={} step=decode outcome={failure:?} endpoint={}",
                 request.facts.attempt, endpoint.listed.id
             );
+            if let Some(run) = places.run {
+                let is_full = failure == CallFailure::NotRun;
+                run.end(if is_full {
+                    RunEnd::NoRoom
+                } else {
+                    RunEnd::Broken
+                });
+            }
             Err(match failure {
                 CallFailure::NotSent | CallFailure::NotRun => not_run("no room to decode"),
                 CallFailure::Unknown(reason) => Failure::Lost(reason),
@@ -83,37 +109,121 @@
     }
 }
 
-/// Prefills the prompt; nothing if no prefill endpoint could, and the decode endpoint has to.
+/// Finds out where a request runs: the leader decides, or this gateway if no leader answers.
+async fn place(shared: &Arc<Shared>, request: &Identified) -> Result<Places, Failure> {
+    let verdict = shared
+        .dispatch
+        .ask(
+            || shared.now(),
+            &request.service,
+            |now, number| ask(shared, request, now, number),
+        )
+        .await;
+    let endpoints = shared.directory.endpoints();
+    match verdict {
+        Verdict::Placed(run) => {
+            let decode = endpoints.get(&run.placement.decode).cloned();
+            let prefill = match &run.placement.prefill {
+                Some(id) => Some(endpoints.get(id).cloned().ok_or_else(gone)?),
+                None => None,
+            };
+            Ok(Places {
+                prefill,
+                decode: decode.ok_or_else(gone)?,
+                run: Some(run),
+            })
+        }
+        Verdict::Unplaced(why, retry_after) => {
+            info!(
+                "request={} step=place outcome={why:?} retry_after_ms={}",
+                request.facts.attempt,
+                retry_after.as_millis()
+            );
+            Err(Failure::NotRun {
+                reason: match why {
+                    Unplaced::NoEndpoint => "no endpoint takes work",
+                    Unplaced::TooLate => "no room in time",
+                    Unplaced::TooLarge => "larger than an endpoint's memory",
+                },
+                retry_after,
+            })
+        }
+        Verdict::Alone => {
+            info!("request={} step=place outcome=alone", request.facts.attempt);
+            let now = shared.now();
+            let choose = |role| upstream::choose(shared, now, &endpoints, request, role, &[]);
+            Ok(Places {
+                prefill: choose(EndpointRole::Prefill),
+                decode: choose(EndpointRole::Decode)
+                    .ok_or_else(|| not_run("no decode endpoint"))?,
+                run: None,
+            })
+        }
+    }
+}
+
+fn ask(shared: &Shared, request: &Identified, now: Timestamp, number: u64) -> Ask {
+    let facts = &request.facts;
+    let route = &request.route;
+    let patience = first_event_patience(route).min(request.deadline.since(request.arrived));
+    let waited = now.since(request.arrived);
+    let account = request.account.as_ref();
+    let priority = account
+        .and_then(|id| request.table.account(id))
+        .and_then(|account| account.priority);
+    Ask {
+        ticket: dispatch::ticket(&shared.settings.instance, number),
+        account: request.account.clone(),
+        prompt: facts.prompt.unwrap_or_default(),
+        max_output: facts.max_output.unwrap_or_default(),
+        expected_output: facts.expected_output,
+        priority: priority.unwrap_or(route.priority),
+        target_left: route.target.saturating_sub(waited),
+        patience_left: patience.saturating_sub(waited),
+        data_centre: shared.settings.data_centre.clone(),
+    }
+}
+
+/// How long callers wait for the first event of a stream.
+fn first_event_patience(route: &Route) -> Duration {
+    /// Callers that know no better wait at least this long.
+    const LEAST: Duration = Duration::from_secs(2);
+    /// Latency targets that a caller waits.
+    const TARGETS: u32 = 4;
+    /// Pauses between events that a caller waits.
+    const GAPS: u32 = 8;
+    let gap = route.gap_target.unwrap_or_default() * GAPS;
+    LEAST.max(route.target * TARGETS).max(gap)
+}
+
+const fn gone() -> Failure {
+    not_run("the endpoint is gone")
+}
+
+/// Prefills the prompt where it was placed.
 async fn prefill(
     shared: &Arc<Shared>,
     request: &Identified,
     whole: &Whole,
-) -> Result<Option<HeldCache>, Failure> {
-    let mut tried: Vec<Arc<EndpointEntry>> = Vec::new();
-    while tried.len() < MAX_PREFILLS {
-        let now = shared.now();
-        if now >= request.deadline {
-            return Err(not_run("no time left"));
-        }
-        let endpoints = shared.directory.endpoints();
-        let role = EndpointRole::Prefill;
-        let Some(endpoint) = upstream::choose(shared, now, &endpoints, request, role, &tried)
-        else {
-            return Ok(None);
-        };
-        if !tried.is_empty() && !shared.take_retry(now, &request.service) {
-            return Err(not_run("no retry budget"));
+    endpoint: &Arc<EndpointEntry>,
+    places: &Places,
+) -> Result<HeldCache, Failure> {
+    let started = shared.now();
+    match prefill_at(shared, request, whole, endpoint).await {
+        Ok(held) => {
+            if let Some(run) = &places.run {
+                run.prefilled(shared.now().since(started));
+            }
+            Ok(held)
         }
-        tried.push(Arc::clone(&endpoint));
-        match prefill_at(shared, request, whole, &endpoint).await {
-            Ok(held) => return Ok(Some(held)),
-            Err(failure) => info!(
+        Err(failure) => {
+            info!(
                 "request={} step=prefill outcome={failure:?} endpoint={}",
                 request.facts.attempt, endpoint.listed.id
-            ),
+            );
+            Err(not_run("the prefill failed"))
         }
     }
-    Err(not_run("no prefill endpoint took the prompt"))
 }
 
 async fn prefill_at(
--- a/crates/mimosa-gateway/src/relay.rs
+++ b/crates/mimosa-gateway/src/relay.rs
@@ -15,12 +15,15 @@
 use hyper::header;
 use log::info;
 use mimosa_protocol::Timestamp;
+use mimosa_protocol::Tokens;
+use mimosa_schedule::fleet::RunEnd;
 
 use crate::answer;
 use crate::answer::Body;
 use crate::connection::Connection;
 use crate::directory::EndpointEntry;
 use crate::directory::InHand;
+use crate::dispatch::Run;
 use crate::shared::Shared;
 use crate::upstream;
 use crate::upstream::CallFailure;
@@ -37,7 +40,7 @@
 ) -> Result<Response<Body>, CallFailure> {
     let length = opened.response.body().size_hint().exact();
     if length.is_none_or(|length| length > MAX_BUFFERED) {
-        return Ok(stream(shared, opened, String::new()));
+        return Ok(stream(shared, opened, StreamInfo::default()));
     }
     let Opened {
         response,
@@ -74,7 +77,7 @@
 }
 
 /// An answer that is passed on as it arrives.
-pub(crate) fn stream(shared: &Arc<Shared>, opened: Opened, request: String) -> Response<Body> {
+pub(crate) fn stream(shared: &Arc<Shared>, opened: Opened, info: StreamInfo) -> Response<Body> {
     let (mut head, body) = opened.response.into_parts();
     upstream::drop_hop_by_hop(&mut head.headers);
     if body.size_hint().exact().is_none() {
@@ -87,12 +90,47 @@
         endpoint: opened.endpoint,
         _in_hand: opened.in_hand,
         sent: opened.sent,
-        request,
+        info,
+        events: EventCount::default(),
         bytes: 0,
     };
     Response::from_parts(head, relay.boxed_unsync())
 }
 
+/// What is known of a stream besides its bytes.
+#[derive(Default)]
+pub(crate) struct StreamInfo {
+    /// The request's name in the log; empty if its end is not logged.
+    pub(crate) request: String,
+    /// The run that the leader placed.
+    pub(crate) run: Option<Run>,
+    /// Output tokens in one event.
+    pub(crate) tokens_per_event: Tokens,
+}
+
+/// Counts the events of a stream: each ends with an empty line.
+#[derive(Default)]
+struct EventCount {
+    count: u64,
+    after_newline: bool,
+}
+
+impl EventCount {
+    fn add(&mut self, data: &[u8]) {
+        for byte in data {
+            match byte {
+                b'\n' if self.after_newline => {
+                    self.count += 1;
+                    self.after_newline = false;
+                }
+                b'\n' => self.after_newline = true,
+                b'\r' => {}
+                _ => self.after_newline = false,
+            }
+        }
+    }
+}
+
 /// The body of an answer on its way. Dropped before its end, it closes the endpoint's connection.
 struct Relay {
     shared: Arc<Shared>,
@@ -101,11 +139,23 @@
     endpoint: Arc<EndpointEntry>,
     _in_hand: InHand,
     sent: Timestamp,
-    request: String,
+    info: StreamInfo,
+    events: EventCount,
     bytes: u64,
 }
 
 impl Relay {
+    fn take(&mut self, data: &Bytes) {
+        let is_first = self.bytes == 0;
+        self.bytes += data.len() as u64;
+        if let Some(run) = &self.info.run {
+            if is_first && !data.is_empty() {
+                run.started(self.shared.now());
+            }
+            self.events.add(data);
+        }
+    }
+
     fn end(&mut self, outcome: &str) {
         let now = self.shared.now();
         if let Some(connection) = self.connection.take() {
@@ -117,11 +167,19 @@
                 "cut" => self.endpoint.health().lost(now),
                 _ => {}
             }
-            if !self.request.is_empty() {
+            if let Some(run) = self.info.run.take() {
+                let output = Tokens(self.events.count * self.info.tokens_per_event.0);
+                run.end(match outcome {
+                    "complete" => RunEnd::Complete(output),
+                    _ => RunEnd::Broken,
+                });
+            }
+            if !self.info.request.is_empty() {
                 info!(
-                    "request={} step=stream outcome={outcome} endpoint={} bytes={} took_ms={}",
-                    self.request,
+                    "request={} step=stream outcome={outcome} endpoint={} events={} bytes={} took_ms={}",
+                    self.info.request,
                     self.endpoint.listed.id,
+                    self.events.count,
                     self.bytes,
                     now.since(self.sent).as_millis()
                 );
@@ -143,7 +201,9 @@
             Poll::Ready(None) => self.end("complete"),
             Poll::Ready(Some(Err(_))) => self.end("cut"),
             Poll::Ready(Some(Ok(frame))) => {
-                self.bytes += frame.data_ref().map_or(0, |data| data.len() as u64);
+                if let Some(data) = frame.data_ref().cloned() {
+                    self.take(&data);
+                }
                 if self.body.is_end_stream() {
                     self.end("complete");
                 }
--- a/crates/mimosa-gateway/src/shared.rs
+++ b/crates/mimosa-gateway/src/shared.rs
@@ -18,6 +18,7 @@
 
 use crate::dialect::Dialect;
 use crate::directory::Directory;
+use crate::dispatch::Dispatch;
 use crate::settings::Settings;
 
 /// What all requests share.
@@ -25,6 +26,7 @@
     pub(crate) settings: Settings,
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) directory: Directory,
+    pub(crate) dispatch: Arc<Dispatch>,
     pub(crate) draining: AtomicBool,
     retries: Mutex<HashMap<ServiceId, RetryBudget>>,
     started: Instant,
@@ -43,6 +45,7 @@
             settings,
             dialect,
             directory,
+            dispatch: Arc::default(),
             draining: AtomicBool::new(false),
             retries: Mutex::default(),
             started: Instant::now(),
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -130,7 +130,8 @@
         },
         latency: health.latency().filter(|_| !is_prefill),
         failing_permille: health.failing_permille(now),
-        paused: health.is_paused(now),
+        // A cold endpoint bears little: it gets work from here only if there is no other.
+        paused: health.is_paused(now) || now < endpoint.cold_until,
         near: endpoint.listed.data_centre == shared.settings.data_centre,
     }
 }
--- a/crates/mimosa-route/src/message.rs
+++ b/crates/mimosa-route/src/message.rs
@@ -1,10 +1,17 @@
 //! What gateways and control instances say to each other, over TCP with `postcard` frames.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use mimosa_protocol::DataCentreId;
 use mimosa_protocol::InstanceId;
+use mimosa_protocol::ServiceId;
 use mimosa_protocol::data;
+use mimosa_schedule::fleet::Ask;
+use mimosa_schedule::fleet::Held;
+use mimosa_schedule::fleet::Placement;
+use mimosa_schedule::fleet::RunEnd;
+use mimosa_schedule::fleet::Unplaced;
 
 use crate::endpoint::EndpointList;
 use crate::model::DocumentVersion;
@@ -23,8 +30,39 @@
         },
         /// Asks for the routing document.
         WantDocument,
-        /// Answers [`ControlMessage::State`]: the connection is alive in both directions.
-        Alive,
+        /// Asks the leader to place a request.
+        Ask {
+            /// The service that it wants.
+            service: ServiceId,
+            /// The request.
+            ask: Ask,
+        },
+        /// Tells a new leader of a request that runs already.
+        Held {
+            /// Its service.
+            service: ServiceId,
+            /// The request.
+            held: Held,
+        },
+        /// The prompt of a placed request was processed.
+        Prefilled {
+            /// The gateway's number for the request.
+            number: u64,
+            /// How long the prefill endpoint took.
+            took: Duration,
+        },
+        /// The first output of a placed request arrived.
+        Started {
+            /// The gateway's number for the request.
+            number: u64,
+        },
+        /// A placed request ended, or its caller left the queue.
+        Ended {
+            /// The gateway's number for the request.
+            number: u64,
+            /// How.
+            end: RunEnd,
+        },
     }
 
     /// From a control instance to a gateway.
@@ -40,6 +78,32 @@
         },
         /// The endpoints.
         Endpoints(Arc<EndpointList>),
+        /// A request waits in the leader's queue.
+        Queued {
+            /// The gateway's number for the request.
+            number: u64,
+        },
+        /// A request may run.
+        Placed {
+            /// The gateway's number for the request.
+            number: u64,
+            /// Where.
+            placement: Placement,
+        },
+        /// A request may not run.
+        Unplaced {
+            /// The gateway's number for the request.
+            number: u64,
+            /// Why.
+            why: Unplaced,
+            /// When room is expected.
+            retry_after: Duration,
+        },
+        /// The receiver of an ask does not lead.
+        NotLeading {
+            /// The gateway's number for the request.
+            number: u64,
+        },
     }
 
     /// What a control instance knows.
--- /dev/null
+++ b/crates/mimosa-schedule/src/fleet/endpoint.rs
@@ -0,0 +1,90 @@
+//! What a fleet knows of one endpoint.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use mimosa_protocol::DataCentreId;
+use mimosa_protocol::Timestamp;
+use mimosa_protocol::configuration::EndpointRole;
+
+use super::Ticket;
+use super::forecast::Load;
+
+/// Time between two requests to a cold endpoint.
+const COLD_INTERVAL: Duration = Duration::from_millis(100);
+
+/// One endpoint.
+#[derive(Debug, Default)]
+pub(super) struct FleetEndpoint {
+    pub(super) role: Option<EndpointRole>,
+    pub(super) data_centre: Option<DataCentreId>,
+    pub(super) cold_until: Timestamp,
+    /// After it said that it had no room.
+    pub(super) full_until: Timestamp,
+    /// What decodes here.
+    pub(super) loads: BTreeMap<Ticket, Load>,
+    /// What is prefilled here, with the time when each is expected to be done.
+    prefills: BTreeMap<Ticket, Timestamp>,
+    last_cold: Timestamp,
+}
+
+impl FleetEndpoint {
+    pub(super) fn decodes(&self) -> bool {
+        self.role == Some(EndpointRole::Decode)
+    }
+
+    pub(super) fn prefills(&self) -> bool {
+        self.role == Some(EndpointRole::Prefill)
+    }
+
+    pub(super) fn is_in(&self, data_centre: &DataCentreId) -> bool {
+        self.data_centre.as_ref() == Some(data_centre)
+    }
+
+    /// When its prefills are expected to be done.
+    pub(super) fn free_at(&self, now: Timestamp) -> Timestamp {
+        self.prefills.values().copied().max().unwrap_or(now)
+    }
+
+    /// Whether it is warm, or has had a pause since its last request.
+    pub(super) fn takes_cold(&self, now: Timestamp) -> bool {
+        now >= self.cold_until || now >= self.last_cold + COLD_INTERVAL
+    }
+
+    pub(super) fn count_cold(&mut self, now: Timestamp) {
+        self.last_cold = now;
+    }
+
+    /// Starts a prefill; returns when it is expected to be done.
+    pub(super) fn start_prefill(
+        &mut self,
+        now: Timestamp,
+        ticket: &Ticket,
+        time: Duration,
+    ) -> Timestamp {
+        let done = self.free_at(now).max(now) + time;
+        self.prefills.insert(ticket.clone(), done);
+        self.last_cold = now;
+        done
+    }
+
+    /// Ends a prefill. Returns whether it was the only one here.
+    pub(super) fn prefilled(&mut self, now: Timestamp, ticket: &Ticket) -> bool {
+        let alone = self.prefills.len() == 1;
+        self.prefills.remove(ticket);
+        // What follows starts now, not when the end was expected.
+        let late = self.prefills.values().min().copied();
+        if let Some(first) = late.filter(|first| *first < now) {
+            let shift = now.since(first);
+            self.prefills
+                .values_mut()
+                .for_each(|done| *done = *done + shift);
+        }
+        alone
+    }
+
+    /// When something here is expected to change that lets another request in.
+    pub(super) fn next_change(&self, now: Timestamp) -> Option<Timestamp> {
+        self.prefills.values().copied().filter(|at| *at > now).max()
+    }
+}
--- /dev/null
+++ b/crates/mimosa-schedule/src/fleet/waiting.rs
@@ -0,0 +1,35 @@
+//! Requests that wait to be placed.
+
+use mimosa_protocol::Timestamp;
+
+use super::Ask;
+use super::Settings;
+
+/// A request that waits.
+#[derive(Clone, Debug)]
+pub(super) struct Waiting {
+    pub(super) ask: Ask,
+    /// When its first output is late.
+    pub(super) target: Timestamp,
+    /// When it is refused.
+    pub(super) given_up_at: Timestamp,
+    /// Whether it can no longer be in time.
+    pub(super) is_late: bool,
+}
+
+impl Waiting {
+    pub(super) fn new(now: Timestamp, ask: Ask, settings: &Settings) -> Self {
+        let patience = ask.patience_left * settings.late_permille / 1_000;
+        Self {
+            target: now + ask.target_left,
+            given_up_at: now + patience.max(ask.target_left.min(ask.patience_left)),
+            is_late: false,
+            ask,
+        }
+    }
+
+    /// What can be in time goes first, then the more urgent, then the earlier target.
+    pub(super) const fn order(&self) -> (bool, u8, Timestamp) {
+        (self.is_late, self.ask.priority, self.target)
+    }
+}
--- a/crates/mimosa-schedule/src/lib.rs
+++ b/crates/mimosa-schedule/src/lib.rs
@@ -117,6 +117,7 @@
 pub mod action;
 pub mod event;
 pub mod fence;
+pub mod fleet;
 pub mod health;
 pub mod pick;
 pub mod scheduler;
