--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -10,10 +10,16 @@
 
 use log::info;
 use log::warn;
+use mimosa_limit::quota::OverQuota;
+use mimosa_limit::quota::QuotaLimits;
+use mimosa_limit::quota::Quotas;
+use mimosa_protocol::AccountId;
 use mimosa_protocol::DataCentreId;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::ServiceId;
 use mimosa_protocol::Timestamp;
+use mimosa_protocol::TokenRate;
+use mimosa_protocol::Tokens;
 use mimosa_protocol::configuration::EndpointState;
 use mimosa_route::DocumentFormat;
 use mimosa_route::EndpointList;
@@ -21,10 +27,12 @@
 use mimosa_route::message::ControlMessage;
 use mimosa_route::message::GatewayMessage;
 use mimosa_schedule::fleet::Action;
+use mimosa_schedule::fleet::Ask;
 use mimosa_schedule::fleet::Event;
 use mimosa_schedule::fleet::Fleet;
 use mimosa_schedule::fleet::Settings;
 use mimosa_schedule::fleet::Ticket;
+use mimosa_schedule::fleet::Unplaced;
 use mimosa_schedule::fleet::View;
 use mimosa_schedule::fleet::ViewEndpoint;
 use tokio::sync::Notify;
@@ -65,12 +73,22 @@
     gateways: HashMap<InstanceId, Connected>,
     lost: HashMap<InstanceId, Timestamp>,
     table: RouteTable,
+    quotas: Quotas,
+    /// What each placed or waiting request was charged, and when.
+    charges: HashMap<Ticket, Charge>,
     list: Arc<EndpointList>,
     out: BTreeSet<DataCentreId>,
     /// The log index of the routing state that `table` and `out` come from.
     routing: Option<u64>,
 }
 
+/// What a request was charged.
+struct Charge {
+    account: AccountId,
+    cost: Tokens,
+    at: Timestamp,
+}
+
 /// A gateway's connection.
 struct Connected {
     connection: u64,
@@ -138,6 +156,11 @@
         }
     }
 
+    /// How many gateways are connected.
+    pub fn gateways(&self) -> u32 {
+        u32::try_from(self.lock().gateways.len()).unwrap_or(u32::MAX)
+    }
+
     /// Takes in what a gateway says.
     pub fn take_in(&self, gateway: &InstanceId, message: GatewayMessage) {
         let now = self.now();
@@ -151,6 +174,7 @@
                 let number = ask.ticket.number;
                 inner.send(gateway, ControlMessage::NotLeading { number });
             }
+            GatewayMessage::Ask { ask, .. } if !inner.charge(now, &ask) => {}
             GatewayMessage::Ask { service, ask } => {
                 let ticket = ask.ticket.clone();
                 inner.services.insert(ticket.clone(), service.clone());
@@ -160,6 +184,13 @@
                     inner.send(gateway, ControlMessage::Queued { number });
                 }
             }
+            GatewayMessage::Borrow { account, wanted } => {
+                let lent = match inner.leads {
+                    true => inner.quotas.lend(now, &account, wanted),
+                    false => Tokens::ZERO,
+                };
+                inner.send(gateway, ControlMessage::Lent { account, lent });
+            }
             GatewayMessage::Held { service, held } => {
                 inner
                     .services
@@ -185,6 +216,7 @@
                     },
                 );
                 inner.services.remove(&ticket);
+                inner.charges.remove(&ticket);
             }
             GatewayMessage::Hello { .. } | GatewayMessage::WantDocument => {}
         }
@@ -203,6 +235,8 @@
             inner.lead_since = now;
             inner.fleets.clear();
             inner.services.clear();
+            inner.charges.clear();
+            inner.quotas = Quotas::default();
             inner.routing = None;
         }
         if !leads {
@@ -241,6 +275,7 @@
             inner.routing = Some(changed);
         }
         inner.list = list;
+        inner.configure_quotas(now);
         inner.configure_fleets(now);
     }
 
@@ -275,10 +310,51 @@
                 .entry(service.clone())
                 .or_insert_with(|| Fleet::new(Settings::default(), silent_until));
             let actions = fleet.handle(now, Event::Configure(view));
-            self.carry_out(actions);
+            self.carry_out(now, actions);
         }
     }
 
+    fn configure_quotas(&mut self, now: Timestamp) {
+        let accounts = self.table.configuration().accounts.iter();
+        let limits = accounts.filter_map(|account| {
+            let quota = account.quota?;
+            let limits = QuotaLimits {
+                rate: TokenRate(quota.rate.0),
+                burst: quota.burst,
+            };
+            Some((account.id.clone(), limits))
+        });
+        self.quotas.configure(now, limits);
+    }
+
+    /// Charges a request to its account. Returns whether the account had enough left.
+    fn charge(&mut self, now: Timestamp, ask: &Ask) -> bool {
+        let Some(account) = &ask.account else {
+            return true;
+        };
+        let cost = ask.prompt + ask.max_output;
+        let (why, retry_after) = match self.quotas.take(now, account, cost) {
+            Ok(()) => {
+                let charge = Charge {
+                    account: account.clone(),
+                    cost,
+                    at: now,
+                };
+                self.charges.insert(ask.ticket.clone(), charge);
+                return true;
+            }
+            Err(OverQuota::Until(wait)) => (Unplaced::OverQuota, wait),
+            Err(OverQuota::Never) => (Unplaced::OverBurst, Duration::ZERO),
+        };
+        let message = ControlMessage::Unplaced {
+            number: ask.ticket.number,
+            why,
+            retry_after,
+        };
+        self.send(&ask.ticket.gateway, message);
+        false
+    }
+
     fn view_endpoints(&self, now: Timestamp, service: &ServiceId) -> Vec<ViewEndpoint> {
         let listed = self.list.endpoints.iter();
         listed
@@ -300,7 +376,7 @@
             .entry(service.clone())
             .or_insert_with(|| Fleet::new(Settings::default(), silent_until));
         let actions = fleet.handle(now, event);
-        self.carry_out(actions);
+        self.carry_out(now, actions);
     }
 
     fn tell(&mut self, now: Timestamp, ticket: &Ticket, event: Event) {
@@ -309,7 +385,7 @@
         }
     }
 
-    fn carry_out(&mut self, actions: Vec<Action>) {
+    fn carry_out(&mut self, now: Timestamp, actions: Vec<Action>) {
         for action in actions {
             match action {
                 Action::Place { ticket, placement } => {
@@ -323,6 +399,10 @@
                     retry_after,
                 } => {
                     self.services.remove(&ticket);
+                    if let Some(charge) = self.charges.remove(&ticket) {
+                        let Charge { account, cost, at } = charge;
+                        self.quotas.give_back(now, at, &account, cost);
+                    }
                     let message = ControlMessage::Unplaced {
                         number: ticket.number,
                         why,
@@ -342,6 +422,7 @@
             self.lost.remove(&gateway);
             self.gateways.remove(&gateway);
             self.services.retain(|ticket, _| ticket.gateway != gateway);
+            self.charges.retain(|ticket, _| ticket.gateway != gateway);
             let services: Vec<ServiceId> = self.fleets.keys().cloned().collect();
             for service in &services {
                 let gateway = gateway.clone();
--- a/crates/mimosa-control/src/routing/gateway_port.rs
+++ b/crates/mimosa-control/src/routing/gateway_port.rs
@@ -165,6 +165,7 @@
             leader: status.leader.and_then(|leader| leader.parse().ok()),
             members: members.filter_map(|name| name.parse().ok()).collect(),
             version,
+            gateways: self.dispatcher.gateways(),
             out,
             changed,
         }
--- a/crates/mimosa-gateway/src/answer.rs
+++ b/crates/mimosa-gateway/src/answer.rs
@@ -38,6 +38,10 @@
         /// When to come back.
         retry_after: Duration,
     },
+    /// The account has used up its quota for now.
+    OverQuota(Duration),
+    /// The request costs more than the account may ever use at once.
+    OverBurst,
     /// The request may have run; its answer is lost.
     Lost(&'static str),
     /// The time is over and the request may have run.
@@ -48,6 +52,9 @@
     pub(crate) const fn status(&self) -> StatusCode {
         match self {
             Self::NoConfiguration | Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
+            // No caller sends it again as it is.
+            Self::OverBurst => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -67,6 +74,8 @@
             Self::BodyTooSlow => "the body did not arrive in time",
             Self::BadRequest => "the request cannot be read",
             Self::NotRun { reason, .. } | Self::Lost(reason) => reason,
+            Self::OverQuota(_) => "the quota is used up for now",
+            Self::OverBurst => "the request is larger than the account's burst",
             Self::TimedOut => "timeout",
         }
     }
@@ -77,7 +86,7 @@
         const START_TIME: Duration = Duration::from_millis(500);
         match self {
             Self::NoConfiguration => Some(START_TIME),
-            Self::NotRun { retry_after, .. } => Some(*retry_after),
+            Self::NotRun { retry_after, .. } | Self::OverQuota(retry_after) => Some(*retry_after),
             _ => None,
         }
     }
--- a/crates/mimosa-gateway/src/control_link.rs
+++ b/crates/mimosa-gateway/src/control_link.rs
@@ -99,12 +99,20 @@
             if directory.take_state(&state) {
                 send(outbox, GatewayMessage::WantDocument);
             }
+            if let Some(table) = directory.table()
+                && state.gateways > 0
+            {
+                shared.purse.configure(shared.now(), &table, state.gateways);
+            }
             let leader = directory.leader();
             shared.dispatch.leader_is(shared.now(), leader.as_ref());
             heard.send(state.members).ok();
         }
         ControlMessage::Document { version, bytes } => directory.take_document(version, &bytes),
         ControlMessage::Endpoints(list) => directory.take_endpoints(shared.now(), &list),
+        ControlMessage::Lent { account, lent } => {
+            shared.purse.lent(shared.now(), &account, lent);
+        }
         ControlMessage::Queued { number } => shared.dispatch.queued(number),
         ControlMessage::Placed { number, placement } => shared.dispatch.placed(number, placement),
         ControlMessage::Unplaced {
--- a/crates/mimosa-gateway/src/dispatch.rs
+++ b/crates/mimosa-gateway/src/dispatch.rs
@@ -9,9 +9,11 @@
 use std::time::Duration;
 
 use log::info;
+use mimosa_protocol::AccountId;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::ServiceId;
 use mimosa_protocol::Timestamp;
+use mimosa_protocol::Tokens;
 use mimosa_route::message::GatewayMessage;
 use mimosa_schedule::fleet::Ask;
 use mimosa_schedule::fleet::Held;
@@ -179,6 +181,16 @@
         Verdict::Alone
     }
 
+    /// Asks the leader for a part of an account's quota. Returns whether it was asked.
+    pub(crate) fn borrow(&self, now: Timestamp, account: &AccountId, wanted: Tokens) -> bool {
+        let inner = self.lock();
+        let message = GatewayMessage::Borrow {
+            account: account.clone(),
+            wanted,
+        };
+        now >= inner.silent_until && inner.send(message)
+    }
+
     #[expect(clippy::type_complexity, reason = "the parts of one ask")]
     fn send_ask(
         &self,
--- a/crates/mimosa-gateway/src/lib.rs
+++ b/crates/mimosa-gateway/src/lib.rs
@@ -18,6 +18,8 @@
 mod head;
 mod model;
 mod plain;
+mod purse;
+mod quota;
 mod relay;
 mod serve;
 mod shared;
--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -30,6 +30,7 @@
 use crate::dispatch::Run;
 use crate::dispatch::Verdict;
 use crate::head::Identified;
+use crate::quota;
 use crate::relay;
 use crate::relay::StreamInfo;
 use crate::shared::Shared;
@@ -139,17 +140,11 @@
                 request.facts.attempt,
                 retry_after.as_millis()
             );
-            Err(Failure::NotRun {
-                reason: match why {
-                    Unplaced::NoEndpoint => "no endpoint takes work",
-                    Unplaced::TooLate => "no room in time",
-                    Unplaced::TooLarge => "larger than an endpoint's memory",
-                },
-                retry_after,
-            })
+            Err(refusal(why, retry_after))
         }
         Verdict::Alone => {
             info!("request={} step=place outcome=alone", request.facts.attempt);
+            quota::alone(shared, request)?;
             let now = shared.now();
             let choose = |role| upstream::choose(shared, now, &endpoints, request, role, &[]);
             Ok(Places {
@@ -162,6 +157,20 @@
     }
 }
 
+const fn refusal(why: Unplaced, retry_after: Duration) -> Failure {
+    let reason = match why {
+        Unplaced::NoEndpoint => "no endpoint takes work",
+        Unplaced::TooLate => "no room in time",
+        Unplaced::TooLarge => "larger than an endpoint's memory",
+        Unplaced::OverQuota => return Failure::OverQuota(retry_after),
+        Unplaced::OverBurst => return Failure::OverBurst,
+    };
+    Failure::NotRun {
+        reason,
+        retry_after,
+    }
+}
+
 fn ask(shared: &Shared, request: &Identified, now: Timestamp, number: u64) -> Ask {
     let facts = &request.facts;
     let route = &request.route;
--- a/crates/mimosa-gateway/src/serve.rs
+++ b/crates/mimosa-gateway/src/serve.rs
@@ -15,6 +15,7 @@
 use crate::head::Identified;
 use crate::model;
 use crate::plain;
+use crate::quota;
 use crate::shared::Shared;
 use crate::upstream::Whole;
 
@@ -69,6 +70,7 @@
     if identified.route.repeat.is_stream() {
         model::serve(shared, identified, &whole).await
     } else {
+        quota::admit(shared, identified).await?;
         plain::serve(shared, identified, &whole).await
     }
 }
--- a/crates/mimosa-gateway/src/shared.rs
+++ b/crates/mimosa-gateway/src/shared.rs
@@ -19,6 +19,7 @@
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::dispatch::Dispatch;
+use crate::purse::Purse;
 use crate::settings::Settings;
 
 /// What all requests share.
@@ -27,6 +28,7 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) directory: Directory,
     pub(crate) dispatch: Arc<Dispatch>,
+    pub(crate) purse: Purse,
     pub(crate) draining: AtomicBool,
     retries: Mutex<HashMap<ServiceId, RetryBudget>>,
     started: Instant,
@@ -46,6 +48,7 @@
             dialect,
             directory,
             dispatch: Arc::default(),
+            purse: Purse::default(),
             draining: AtomicBool::new(false),
             retries: Mutex::default(),
             started: Instant::now(),
--- a/crates/mimosa-limit/src/lib.rs
+++ b/crates/mimosa-limit/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod local;
 pub mod message;
 pub mod purse;
+pub mod quota;
 pub mod settings;
 pub mod share;
 pub mod slice;
--- /dev/null
+++ b/crates/mimosa-limit/src/quota.rs
@@ -0,0 +1,113 @@
+//! The quotas of many accounts, each a bucket, held by whoever counts for all.
+//!
+//! It answers accounts of very different size, one of which sends several times its rate: what is
+//! inside the rate goes through at once, what is beyond is refused at once with the time at which
+//! there is room again.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use mimosa_protocol::AccountId;
+use mimosa_protocol::Timestamp;
+use mimosa_protocol::TokenRate;
+use mimosa_protocol::Tokens;
+
+use crate::amount::Amount;
+use crate::bucket::Bucket;
+
+/// The rate and burst of an account.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuotaLimits {
+    /// Tokens a second.
+    pub rate: TokenRate,
+    /// Tokens that may run ahead of the rate.
+    pub burst: Tokens,
+}
+
+/// Why a cost was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OverQuota {
+    /// There will be room after a while.
+    Until(Duration),
+    /// The cost is larger than the whole burst: there will never be room.
+    Never,
+}
+
+/// The buckets of all accounts that have a quota.
+#[derive(Debug, Default)]
+pub struct Quotas {
+    buckets: BTreeMap<AccountId, Bucket>,
+}
+
+impl Quotas {
+    /// Adopts the limits of all accounts. A new bucket starts empty: whoever counted before may
+    /// have given out a whole burst just now.
+    pub fn configure(
+        &mut self,
+        now: Timestamp,
+        accounts: impl IntoIterator<Item = (AccountId, QuotaLimits)>,
+    ) {
+        let mut old = std::mem::take(&mut self.buckets);
+        for (account, limits) in accounts {
+            let QuotaLimits { rate, burst } = limits;
+            let bucket = match old.remove(&account) {
+                Some(mut bucket) => {
+                    bucket.set_limits(now, rate, burst);
+                    bucket
+                }
+                None => Bucket::new(now, rate, burst, Amount::ZERO),
+            };
+            self.buckets.insert(account, bucket);
+        }
+    }
+
+    /// Takes the cost of a request. An account without a quota has no limit.
+    ///
+    /// # Errors
+    ///
+    /// If the account has less left.
+    pub fn take(
+        &mut self,
+        now: Timestamp,
+        account: &AccountId,
+        cost: Tokens,
+    ) -> Result<(), OverQuota> {
+        let Some(bucket) = self.buckets.get_mut(account) else {
+            return Ok(());
+        };
+        if bucket.try_charge(now, cost.into()) {
+            return Ok(());
+        }
+        if cost > bucket.burst() {
+            return Err(OverQuota::Never);
+        }
+        let missing = Amount::from(cost).minus(bucket.level());
+        let wait = missing.time_at(bucket.rate());
+        Err(wait.map_or(OverQuota::Never, OverQuota::Until))
+    }
+
+    /// Gives back what was taken a moment ago and not used.
+    pub fn give_back(
+        &mut self,
+        now: Timestamp,
+        taken: Timestamp,
+        account: &AccountId,
+        cost: Tokens,
+    ) {
+        if let Some(bucket) = self.buckets.get_mut(account) {
+            bucket.refund(now, taken, cost.into());
+        }
+    }
+
+    /// Takes up to an amount for requests that a gateway will admit by itself. Returns how much; an
+    /// account without a quota gets it all.
+    pub fn lend(&mut self, now: Timestamp, account: &AccountId, wanted: Tokens) -> Tokens {
+        let Some(bucket) = self.buckets.get_mut(account) else {
+            return wanted;
+        };
+        bucket.advance(now);
+        let lent = wanted.min(bucket.level().or_zero().tokens());
+        bucket.charge(now, lent.into());
+        lent
+    }
+}
--- /dev/null
+++ b/crates/mimosa-limit/tests/quota.rs
@@ -0,0 +1,105 @@
+//! The quotas of many accounts.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use mimosa_limit::quota::OverQuota;
+use mimosa_limit::quota::QuotaLimits;
+use mimosa_limit::quota::Quotas;
+use mimosa_protocol::AccountId;
+use mimosa_protocol::Timestamp;
+use mimosa_protocol::TokenRate;
+use mimosa_protocol::Tokens;
+
+fn account() -> AccountId {
+    "orchid".parse().unwrap()
+}
+
+fn quotas(now: Timestamp, rate: u64) -> Quotas {
+    let mut quotas = Quotas::default();
+    configure(&mut quotas, now, rate);
+    quotas
+}
+
+fn configure(quotas: &mut Quotas, now: Timestamp, rate: u64) {
+    let limits = QuotaLimits {
+        rate: TokenRate(rate),
+        burst: Tokens(rate),
+    };
+    quotas.configure(now, [(account(), limits)]);
+}
+
+/// An account sends ten times its rate for a minute; every window of eight seconds holds.
+#[gtest]
+fn no_window_exceeds_rate_and_burst() {
+    let start = Timestamp::from_secs(10);
+    let mut quotas = quotas(start, 1_000);
+    let window = Duration::from_secs(8);
+    let mut taken = Vec::new();
+    for step in 0..60_000 {
+        let now = start + Duration::from_millis(step);
+        let cost = Tokens(if step % 100 == 0 { 800 } else { 2 });
+        if quotas.take(now, &account(), cost).is_ok() {
+            taken.push((now, cost.0));
+        }
+    }
+    let mut first = 0;
+    let mut sum = 0;
+    for (at, cost) in &taken {
+        sum += cost;
+        while taken[first].0 + window <= *at {
+            sum -= taken[first].1;
+            first += 1;
+        }
+        assert_that!(sum, le(8 * 1_000 + 1_000));
+    }
+    let total: u64 = taken.iter().map(|(_, cost)| cost).sum();
+    expect_that!(total, gt(59_000));
+}
+
+#[gtest]
+fn a_refusal_tells_when_there_is_room() {
+    let start = Timestamp::from_secs(10);
+    let mut quotas = quotas(start, 1_000);
+    let wait = match quotas.take(start, &account(), Tokens(500)) {
+        Err(OverQuota::Until(wait)) => wait,
+        other => panic!("{other:?}"),
+    };
+    expect_that!(wait, eq(Duration::from_millis(500)));
+    expect_that!(
+        quotas.take(start + wait, &account(), Tokens(500)),
+        ok(anything())
+    );
+    expect_that!(
+        quotas.take(start + wait, &account(), Tokens(1_001)),
+        err(eq(OverQuota::Never))
+    );
+}
+
+#[gtest]
+fn a_lower_limit_holds_at_once() {
+    let start = Timestamp::from_secs(10);
+    let mut quotas = quotas(start, 1_000);
+    let later = start + Duration::from_secs(5);
+    configure(&mut quotas, later, 100);
+    expect_that!(
+        quotas.lend(later, &account(), Tokens(5_000)),
+        le(Tokens(100))
+    );
+}
+
+#[gtest]
+fn what_was_not_used_can_be_used_again() {
+    let start = Timestamp::from_secs(10);
+    let mut quotas = quotas(start, 1_000);
+    let later = start + Duration::from_secs(5);
+    expect_that!(
+        quotas.take(later, &account(), Tokens(1_000)),
+        ok(anything())
+    );
+    quotas.give_back(later, later, &account(), Tokens(1_000));
+    expect_that!(
+        quotas.take(later, &account(), Tokens(1_000)),
+        ok(anything())
+    );
+}
--- a/crates/mimosa-route/src/message.rs
+++ b/crates/mimosa-route/src/message.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use mimosa_protocol::AccountId;
 use mimosa_protocol::DataCentreId;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::ServiceId;
+use mimosa_protocol::Tokens;
 use mimosa_protocol::data;
 use mimosa_schedule::fleet::Ask;
 use mimosa_schedule::fleet::Held;
@@ -37,6 +39,14 @@
             /// The request.
             ask: Ask,
         },
+        /// Asks the leader for a part of an account's quota, for requests that the gateway admits by
+        /// itself.
+        Borrow {
+            /// The account.
+            account: AccountId,
+            /// How much.
+            wanted: Tokens,
+        },
         /// Tells a new leader of a request that runs already.
         Held {
             /// Its service.
@@ -99,6 +109,13 @@
             /// When room is expected.
             retry_after: Duration,
         },
+        /// Answers [`GatewayMessage::Borrow`].
+        Lent {
+            /// The account.
+            account: AccountId,
+            /// How much; may be less than wanted.
+            lent: Tokens,
+        },
         /// The receiver of an ask does not lead.
         NotLeading {
             /// The gateway's number for the request.
@@ -117,6 +134,8 @@
         pub members: Vec<InstanceId>,
         /// The version of the routing document.
         pub version: Option<DocumentVersion>,
+        /// Gateways that are connected to this instance.
+        pub gateways: u32,
         /// The data centres that get no new work.
         pub out: Vec<DataCentreId>,
         /// Orders the states of different instances: a higher number is newer.
--- a/crates/mimosa-schedule/src/fleet.rs
+++ b/crates/mimosa-schedule/src/fleet.rs
@@ -101,6 +101,10 @@
         TooLate,
         /// It is larger than any endpoint's memory.
         TooLarge,
+        /// Its account has used up its quota for now.
+        OverQuota,
+        /// It costs more than the whole burst of its account.
+        OverBurst,
     }
 }
 
--- a/src/command/control.rs
+++ b/src/command/control.rs
@@ -84,7 +84,7 @@
     println!("admin={}", running.admin_address());
     println!("entries={}", running.entry_address());
     println!("peers={}", running.peer_address());
-    runtime::stop_signal().await?;
+    runtime::stop_signal_or_reload(|| log::info!("event=reload")).await?;
     running.shutdown().await;
     Ok(ExitCode::SUCCESS)
 }
--- a/src/command/gateway.rs
+++ b/src/command/gateway.rs
@@ -44,7 +44,7 @@
     let dialect = Arc::new(PlatformHeaders);
     let running = Gateway::start(gateway, dialect, Arc::new(PlatformDocument)).await?;
     println!("callers={}", running.address());
-    runtime::stop_signal().await?;
+    runtime::stop_signal_or_reload(|| log::info!("event=reload")).await?;
     running.shutdown().await;
     Ok(ExitCode::SUCCESS)
 }
