Keep an odd number of voters, use the tolerance of quotas, place again after a failed endpoint

Changes: three voters of four instances, a learner takes the seat of a silent voter; the tolerance of the settings is used but for half of the slack; a failed placement is placed again with its KV cache.

--- a/crates/mimosa-config/src/control.rs
+++ b/crates/mimosa-config/src/control.rs
@@ -9,10 +9,12 @@
 
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::OperatorId;
+use mimosa_protocol::Tokens;
 use mimosa_protocol::hash::Sha;
 
 use crate::reader::Faults;
 use crate::reader::Reader;
+use crate::value::Ratio;
 use crate::value::parse_digest;
 
 /// Most control instances of a cluster.
@@ -53,6 +55,14 @@
     pub endpoint_list: SocketAddr,
     /// Time between two reads of the list.
     pub list_interval: Duration,
+    /// Control instances that may be lost at once: there are twice as many voters and one more.
+    pub tolerated_losses: u32,
+    /// Silence after which a control instance stands for election.
+    pub election_timeout: Duration,
+    /// How far the accounts' use may go beyond their quotas.
+    pub quota_overage: Ratio,
+    /// Tokens by which it may go beyond them besides.
+    pub quota_slack: Tokens,
 }
 
 impl ControlRouting {
@@ -67,6 +77,10 @@
             found: reader.or("found", default.found, faults),
             endpoint_list: reader.or("endpoint_list", default.endpoint_list, faults),
             list_interval: reader.duration("list_interval", default.list_interval, faults),
+            tolerated_losses: reader.or("tolerated_losses", default.tolerated_losses, faults),
+            election_timeout: reader.duration("election_timeout", default.election_timeout, faults),
+            quota_overage: reader.or("quota_overage", default.quota_overage, faults),
+            quota_slack: reader.or("quota_slack", default.quota_slack, faults),
         };
         if settings.seeds.is_empty() {
             let help = "list the addresses of some control instances";
@@ -85,6 +99,11 @@
             endpoint_list: SocketAddr::from((Ipv4Addr::LOCALHOST, 8361)),
             // An endpoint that leaves must get no new work a few seconds after the list shows it.
             list_interval: Duration::from_secs(1),
+            tolerated_losses: 1,
+            // Some times what a sync of a slow disk and a round trip inside a region take together.
+            election_timeout: Duration::from_millis(500),
+            quota_overage: Ratio(0),
+            quota_slack: Tokens(0),
         }
     }
 }
--- a/crates/mimosa-config/src/lib.rs
+++ b/crates/mimosa-config/src/lib.rs
@@ -26,3 +26,4 @@
 pub use crate::runtime::RuntimeSettings;
 pub use crate::settings::Settings;
 pub use crate::value::DurationText;
+pub use crate::value::Ratio;
--- a/crates/mimosa-config/src/value.rs
+++ b/crates/mimosa-config/src/value.rs
@@ -42,6 +42,29 @@
     }
 }
 
+/// A part of a whole such as `0.2`, in thousandths.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ratio(pub u64);
+
+impl FromStr for Ratio {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        const HELP: &str = "a ratio is a number such as 0.2";
+        let number: f64 = text.parse().map_err(|_| HELP)?;
+        let is_plain = number.is_finite() && number >= 0.0;
+        is_plain
+            .then(|| Self((number * 1_000.0).round() as u64))
+            .ok_or(HELP)
+    }
+}
+
+impl fmt::Display for Ratio {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:03}", self.0 / 1_000, self.0 % 1_000)
+    }
+}
+
 /// Parses a SHA-256 digest of 64 hexadecimal digits.
 pub(crate) fn parse_digest(text: &str) -> Result<Sha, &'static str> {
     const HELP: &str = "a digest has 64 hexadecimal digits";
--- a/crates/mimosa-consensus/src/lib.rs
+++ b/crates/mimosa-consensus/src/lib.rs
@@ -149,4 +149,5 @@
 pub use crate::replica::Replica;
 #[doc(hidden)]
 pub use crate::settings::Flaw;
+pub use crate::settings::Seats;
 pub use crate::settings::Settings;
--- a/crates/mimosa-consensus/src/reconfigure.rs
+++ b/crates/mimosa-consensus/src/reconfigure.rs
@@ -1,5 +1,8 @@
 //! Members come and go, one step at a time; leadership is handed on.
 
+use std::collections::BTreeSet;
+use std::time::Duration;
+
 use mimosa_protocol::Timestamp;
 
 use crate::entry::Payload;
@@ -17,6 +20,7 @@
 use crate::replica::Replica;
 use crate::replica::Role;
 use crate::settings::Flaw;
+use crate::settings::Seats;
 
 /// Leadership on its way to another voter.
 #[derive(Clone, Debug, Hash)]
@@ -72,6 +76,53 @@
 
     /// Promotes learners that asked to vote and have caught up.
     pub(crate) fn promote_learners(&mut self) {
+        match self.settings.seats {
+            Some(seats) => self.fill_seats(seats),
+            None => self.promote_one(),
+        }
+    }
+
+    /// Keeps the number of voters: a learner takes the seat of a voter that went silent, and only
+    /// then the silent one is removed, so that no step lowers how many may be lost.
+    fn fill_seats(&mut self, seats: Seats) {
+        let members = self.log.membership();
+        let (voters, learners) = (members.voters.len(), members.learners.len());
+        let silent = self.longest_silent(seats.replace_after, &members.voters);
+        let present = voters - silent.len();
+        if present < seats.voters && voters <= seats.voters && learners > 0 {
+            return self.promote_one();
+        }
+        let gone = match silent.first() {
+            Some(voter) if voters > seats.voters => Some(voter.clone()),
+            _ => {
+                let learners = self.longest_silent(seats.forget_after, &members.learners);
+                learners.first().cloned()
+            }
+        };
+        if let Some(gone) = gone
+            && let Ok(next) = self.next_membership(&MembershipChange::Remove(gone))
+        {
+            self.add_entry(Payload::Membership(next));
+        }
+    }
+
+    /// The members that this leader has not heard for a while, the longest silent first.
+    fn longest_silent(&self, time: Duration, members: &BTreeSet<ReplicaId>) -> Vec<ReplicaId> {
+        let Role::Leader(leader) = &self.role else {
+            return Vec::new();
+        };
+        let heard_at = |id: &ReplicaId| leader.progress.get(id).map(|each| each.heard_at);
+        let mut silent: Vec<_> = members
+            .iter()
+            .filter(|id| **id != self.id)
+            .filter_map(|id| Some((heard_at(id)?, id.clone())))
+            .filter(|(at, _)| self.now.since(*at) >= time)
+            .collect();
+        silent.sort();
+        silent.into_iter().map(|(_, id)| id).collect()
+    }
+
+    fn promote_one(&mut self) {
         let Role::Leader(leader) = &self.role else {
             return;
         };
@@ -87,9 +138,17 @@
     /// Whether this replica has to ask for admission: it never was a member, or waits to vote.
     pub(crate) fn wants_admission(&self) -> bool {
         let members = self.log.membership();
-        self.settings.join
-            && !members.voters.contains(&self.id)
-            && (members.learners.contains(&self.id) || !self.was_member)
+        if !self.settings.join {
+            return false;
+        }
+        // A voter whose seat was taken while it was away does not know it: nobody leads it.
+        if self.settings.seats.is_some() && self.leader().is_none() {
+            return true;
+        }
+        !members.voters.contains(&self.id)
+            && (members.learners.contains(&self.id)
+                || !self.was_member
+                || self.settings.seats.is_some())
     }
 
     pub(crate) fn join_tick(&mut self) {
--- /dev/null
+++ b/crates/mimosa-consensus/tests/seats.rs
@@ -0,0 +1,111 @@
+//! A leader keeps a number of voters; further instances wait as learners and take the seats of
+//! voters that went silent.
+
+#[path = "support/cluster.rs"]
+mod cluster;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+
+use mimosa_consensus::Seats;
+use mimosa_consensus::Settings;
+use mimosa_protocol::InstanceId;
+
+use crate::cluster::Cluster;
+use crate::cluster::instance;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn settings() -> Settings {
+    Settings {
+        seats: Some(Seats {
+            voters: 3,
+            replace_after: 2 * SECOND,
+            forget_after: 30 * SECOND,
+        }),
+        ..Settings::default()
+    }
+}
+
+/// Three founders and a fourth instance that joined.
+fn four(seed: u64) -> Cluster {
+    let mut cluster = Cluster::new(seed, 3, settings());
+    cluster.run_to_leader();
+    cluster.add(4, seed);
+    cluster.start(&instance(4));
+    cluster.run(5 * SECOND);
+    cluster
+}
+
+fn voters(cluster: &Cluster) -> Vec<InstanceId> {
+    let leader = cluster.leader().expect("somebody leads");
+    let members = cluster.process(&leader).replica.committed_membership();
+    members
+        .voters
+        .iter()
+        .map(|id| id.instance.clone())
+        .collect()
+}
+
+#[googletest::test]
+fn a_fourth_instance_stays_a_learner() {
+    let cluster = four(1);
+    let names = [instance(1), instance(2), instance(3)];
+    expect_that!(voters(&cluster), container_eq(names));
+    expect_that!(cluster.checks.violations, is_empty());
+}
+
+#[googletest::test]
+fn a_learner_takes_the_seat_of_a_voter_that_is_gone() {
+    for seed in 0..20 {
+        let mut cluster = four(seed);
+        let leader = cluster.leader().unwrap();
+        let lost = (1..=3).map(instance).find(|id| *id != leader).unwrap();
+        cluster.crash(&lost);
+        cluster.run(6 * SECOND);
+        expect_false!(voters(&cluster).contains(&lost), "seed {seed}");
+        expect_that!(voters(&cluster), len(eq(3)), "seed {seed}");
+        // A second loss is borne.
+        let leader = cluster.leader().unwrap();
+        cluster.crash(&leader);
+        cluster.run(5 * SECOND);
+        let next = cluster.leader().unwrap();
+        cluster.propose(&next, "after two losses");
+        cluster.run(SECOND);
+        expect_that!(cluster.checks.acknowledged, len(eq(1)), "seed {seed}");
+        expect_that!(cluster.checks.violations, is_empty());
+    }
+}
+
+#[googletest::test]
+fn a_voter_that_lost_its_seat_comes_back_as_a_learner() {
+    for seed in 0..20 {
+        let mut cluster = four(seed);
+        let leader = cluster.leader().unwrap();
+        cluster.isolate(std::slice::from_ref(&leader));
+        cluster.run(8 * SECOND);
+        cluster.heal();
+        cluster.run(8 * SECOND);
+        let now_leads = cluster.leader().expect("somebody leads");
+        let members = cluster.process(&now_leads).replica.committed_membership();
+        expect_true!(
+            members.all().any(|id| id.instance == leader),
+            "seed {seed}: {members}"
+        );
+        expect_that!(members.voters.len(), eq(3), "seed {seed}: {members}");
+        expect_that!(cluster.checks.violations, is_empty());
+    }
+}
+
+#[googletest::test]
+fn a_cut_into_halves_leaves_a_quorum_on_one_side() {
+    let mut cluster = four(3);
+    cluster.isolate(&[instance(1), instance(4)]);
+    cluster.run(8 * SECOND);
+    let leader = cluster.leader().expect("one side leads");
+    cluster.propose(&leader, "during the cut");
+    cluster.run(SECOND);
+    expect_that!(cluster.checks.acknowledged, len(eq(1)));
+    expect_that!(cluster.checks.violations, is_empty());
+}
--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -13,6 +13,7 @@
 use mimosa_limit::quota::OverQuota;
 use mimosa_limit::quota::QuotaLimits;
 use mimosa_limit::quota::Quotas;
+use mimosa_limit::quota::Tolerance;
 use mimosa_protocol::AccountId;
 use mimosa_protocol::DataCentreId;
 use mimosa_protocol::InstanceId;
@@ -30,6 +31,7 @@
 use mimosa_schedule::fleet::Ask;
 use mimosa_schedule::fleet::Event;
 use mimosa_schedule::fleet::Fleet;
+use mimosa_schedule::fleet::RunEnd;
 use mimosa_schedule::fleet::Settings;
 use mimosa_schedule::fleet::Ticket;
 use mimosa_schedule::fleet::Unplaced;
@@ -59,6 +61,7 @@
     shared: Arc<Shared>,
     format: Arc<dyn DocumentFormat>,
     endpoints: watch::Receiver<Arc<EndpointList>>,
+    tolerance: Tolerance,
     started: std::time::Instant,
     changed: Notify,
     inner: Mutex<Inner>,
@@ -102,12 +105,14 @@
         shared: Arc<Shared>,
         format: Arc<dyn DocumentFormat>,
         endpoints: watch::Receiver<Arc<EndpointList>>,
+        tolerance: Tolerance,
     ) -> Self {
         Self {
             replicator,
             shared,
             format,
             endpoints,
+            tolerance,
             started: std::time::Instant::now(),
             changed: Notify::new(),
             inner: Mutex::default(),
@@ -207,16 +212,17 @@
             }
             GatewayMessage::Ended { number, end } => {
                 let ticket = ticket(number);
-                inner.tell(
-                    now,
-                    &ticket.clone(),
-                    Event::Ended {
-                        ticket: ticket.clone(),
-                        end,
-                    },
-                );
+                let has_not_run = matches!(end, RunEnd::NoRoom | RunEnd::Unreachable(_));
+                let event = Event::Ended {
+                    ticket: ticket.clone(),
+                    end,
+                };
+                inner.tell(now, &ticket, event);
                 inner.services.remove(&ticket);
-                inner.charges.remove(&ticket);
+                match inner.charges.remove(&ticket) {
+                    Some(charge) if has_not_run => inner.give_back(now, &charge),
+                    _ => {}
+                }
             }
             GatewayMessage::Hello { .. } | GatewayMessage::WantDocument => {}
         }
@@ -275,7 +281,7 @@
             inner.routing = Some(changed);
         }
         inner.list = list;
-        inner.configure_quotas(now);
+        inner.configure_quotas(now, self.tolerance);
         inner.configure_fleets(now);
     }
 
@@ -314,7 +320,7 @@
         }
     }
 
-    fn configure_quotas(&mut self, now: Timestamp) {
+    fn configure_quotas(&mut self, now: Timestamp, tolerance: Tolerance) {
         let accounts = self.table.configuration().accounts.iter();
         let limits = accounts.filter_map(|account| {
             let quota = account.quota?;
@@ -322,7 +328,7 @@
                 rate: TokenRate(quota.rate.0),
                 burst: quota.burst,
             };
-            Some((account.id.clone(), limits))
+            Some((account.id.clone(), tolerance.apply(limits)))
         });
         self.quotas.configure(now, limits);
     }
@@ -355,6 +361,11 @@
         false
     }
 
+    fn give_back(&mut self, now: Timestamp, charge: &Charge) {
+        let Charge { account, cost, at } = charge;
+        self.quotas.give_back(now, *at, account, *cost);
+    }
+
     fn view_endpoints(&self, now: Timestamp, service: &ServiceId) -> Vec<ViewEndpoint> {
         let listed = self.list.endpoints.iter();
         listed
@@ -400,8 +411,7 @@
                 } => {
                     self.services.remove(&ticket);
                     if let Some(charge) = self.charges.remove(&ticket) {
-                        let Charge { account, cost, at } = charge;
-                        self.quotas.give_back(now, at, &account, cost);
+                        self.give_back(now, &charge);
                     }
                     let message = ControlMessage::Unplaced {
                         number: ticket.number,
--- a/crates/mimosa-control/src/server.rs
+++ b/crates/mimosa-control/src/server.rs
@@ -288,6 +288,7 @@
             Arc::clone(&self.shared),
             Arc::clone(&outside.format),
             endpoints.clone(),
+            self.settings.quota_tolerance,
         ));
         self.tasks.spawn(Arc::clone(&dispatcher).run());
         let port = GatewayPort {
@@ -376,6 +377,7 @@
         heartbeat_interval: settings.replica_heartbeat,
         election_timeout: settings.election_timeout,
         snapshot_after: settings.snapshot_after,
+        seats: settings.seats,
         peers: settings.replicas.keys().chain(seeds).cloned().collect(),
         ..mimosa_consensus::Settings::default()
     }
--- a/crates/mimosa-control/src/settings.rs
+++ b/crates/mimosa-control/src/settings.rs
@@ -8,6 +8,8 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use mimosa_consensus::Seats;
+use mimosa_limit::quota::Tolerance;
 use mimosa_protocol::Incarnation;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::OperatorId;
@@ -44,6 +46,10 @@
     pub founders: BTreeSet<InstanceId>,
     /// How instances that are not listed are found; `None` if all are listed.
     pub discovery: Option<Discovery>,
+    /// How many voters there are, and how those that are gone are replaced.
+    pub seats: Option<Seats>,
+    /// How far accounts of gateways may go beyond their quotas.
+    pub quota_tolerance: Tolerance,
     /// Silence after which another control instance stands for election.
     pub election_timeout: Duration,
     /// Time between two heartbeats of the leader to the other control instances.
@@ -127,6 +133,8 @@
             found: false,
             founders: BTreeSet::new(),
             discovery: None,
+            seats: None,
+            quota_tolerance: Tolerance::default(),
             election_timeout: Duration::from_millis(1_000),
             replica_heartbeat: Duration::from_millis(100),
             snapshot_after: 4_096,
--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -26,6 +26,7 @@
 use crate::dialect::KvSource;
 use crate::dialect::Step;
 use crate::directory::EndpointEntry;
+use crate::directory::Endpoints;
 use crate::dispatch;
 use crate::dispatch::Run;
 use crate::dispatch::Verdict;
@@ -45,6 +46,9 @@
 /// Time for the call that frees a KV cache.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Places where one request is tried: the first, and others after an endpoint was full or gone.
+const MAX_PLACES: u32 = 3;
+
 /// Where a request runs.
 struct Places {
     prefill: Option<Arc<EndpointEntry>>,
@@ -52,38 +56,96 @@
     run: Option<Run>,
 }
 
+/// What was tried for a request so far.
+#[derive(Default)]
+struct Tried {
+    endpoints: Vec<Arc<EndpointEntry>>,
+    cache: Option<HeldCache>,
+}
+
 /// Runs a request of a model.
 pub(crate) async fn serve(
     shared: &Arc<Shared>,
     request: &Identified,
     whole: &Whole,
 ) -> Result<Response<Body>, Failure> {
-    let places = place(shared, request).await?;
-    let prefilled = match &places.prefill {
-        Some(endpoint) => Some(prefill(shared, request, whole, endpoint, &places).await?),
-        None => None,
+    let mut tried = Tried::default();
+    let mut last = not_run("no endpoint had room");
+    for _ in 0..MAX_PLACES {
+        let places = match place(shared, request, &tried).await {
+            Ok(places) => places,
+            Err(_) if !tried.endpoints.is_empty() => return Err(last),
+            Err(failure) => return Err(failure),
+        };
+        let failed = match run(shared, request, whole, places, &mut tried).await {
+            Ok(response) => return Ok(response),
+            Err(failed) => failed,
+        };
+        last = match failed {
+            CallFailure::NotSent => not_run("an endpoint cannot be reached"),
+            CallFailure::NotRun => not_run("an endpoint has no room"),
+            CallFailure::Unknown(reason) => return Err(Failure::Lost(reason)),
+            CallFailure::TimedOut => return Err(Failure::TimedOut),
+        };
+        let now = shared.now();
+        let is_over = now >= request.deadline;
+        // What did not reach an endpoint burdens none.
+        let may_repeat = failed == CallFailure::NotSent || shared.take_retry(now, &request.service);
+        if is_over || !may_repeat {
+            break;
+        }
+    }
+    Err(last)
+}
+
+/// Prefills where that is still to be done, and starts the decode.
+async fn run(
+    shared: &Arc<Shared>,
+    request: &Identified,
+    whole: &Whole,
+    places: Places,
+    tried: &mut Tried,
+) -> Result<Response<Body>, CallFailure> {
+    let Places {
+        prefill: prefill_at,
+        decode,
+        run,
+    } = places;
+    if let Some(endpoint) = prefill_at {
+        match prefill(shared, request, whole, &endpoint, run.as_ref()).await {
+            Ok(held) => tried.cache = Some(held),
+            Err(failure) => {
+                end(run, RunEnd::Unreachable(endpoint.listed.id.clone()));
+                tried.endpoints.push(endpoint);
+                // Whatever became of the prefill, the request itself did not run.
+                return Err(match failure {
+                    CallFailure::NotSent => CallFailure::NotSent,
+                    _ => CallFailure::NotRun,
+                });
+            }
+        }
+    }
+    let step = match &tried.cache {
+        Some(held) => Step::Decode(held.source()),
+        None => Step::Whole,
     };
-    let step = prefilled
-        .as_ref()
-        .map_or(Step::Whole, |held| Step::Decode(held.source()));
-    let endpoint = &places.decode;
     let left = request.time_left(shared.now());
-    match upstream::call(shared, request, whole, endpoint, step, left).await {
+    match upstream::call(shared, request, whole, &decode, step, left).await {
         Ok(opened) => {
-            if let Some(held) = prefilled {
+            if let Some(held) = tried.cache.take() {
                 held.taken();
             }
             info!(
                 "request={} step=decode outcome=started endpoint={} waited_ms={}",
                 request.facts.attempt,
-                endpoint.listed.id,
+                decode.listed.id,
                 shared.now().since(request.arrived).as_millis()
             );
             let engine = request.table.service(&request.service);
             let engine = engine.and_then(|service| service.engine);
             let info = StreamInfo {
                 request: request.facts.attempt.clone(),
-                run: places.run,
+                run,
                 tokens_per_event: engine.map_or(Tokens(1), |engine| engine.tokens_per_event),
             };
             Ok(relay::stream(shared, opened, info))
@@ -91,33 +153,41 @@
         Err(failure) => {
             info!(
                 "request={} step=decode outcome={failure:?} endpoint={}",
-                request.facts.attempt, endpoint.listed.id
+                request.facts.attempt, decode.listed.id
             );
-            if let Some(run) = places.run {
-                let is_full = failure == CallFailure::NotRun;
-                run.end(if is_full {
-                    RunEnd::NoRoom
-                } else {
-                    RunEnd::Broken
-                });
-            }
-            Err(match failure {
-                CallFailure::NotSent | CallFailure::NotRun => not_run("no room to decode"),
-                CallFailure::Unknown(reason) => Failure::Lost(reason),
-                CallFailure::TimedOut => Failure::TimedOut,
-            })
+            let id = decode.listed.id.clone();
+            end(
+                run,
+                match failure {
+                    CallFailure::NotRun => RunEnd::NoRoom,
+                    CallFailure::NotSent => RunEnd::Unreachable(id),
+                    _ => RunEnd::Broken,
+                },
+            );
+            tried.endpoints.push(decode);
+            Err(failure)
         }
     }
 }
 
+fn end(run: Option<Run>, end: RunEnd) {
+    if let Some(run) = run {
+        run.end(end);
+    }
+}
+
 /// Finds out where a request runs: the leader decides, or this gateway if no leader answers.
-async fn place(shared: &Arc<Shared>, request: &Identified) -> Result<Places, Failure> {
+async fn place(
+    shared: &Arc<Shared>,
+    request: &Identified,
+    tried: &Tried,
+) -> Result<Places, Failure> {
     let verdict = shared
         .dispatch
         .ask(
             || shared.now(),
             &request.service,
-            |now, number| ask(shared, request, now, number),
+            |now, number| ask(shared, request, tried, now, number),
         )
         .await;
     let endpoints = shared.directory.endpoints();
@@ -142,21 +212,34 @@
             );
             Err(refusal(why, retry_after))
         }
-        Verdict::Alone => {
-            info!("request={} step=place outcome=alone", request.facts.attempt);
-            quota::alone(shared, request)?;
-            let now = shared.now();
-            let choose = |role| upstream::choose(shared, now, &endpoints, request, role, &[]);
-            Ok(Places {
-                prefill: choose(EndpointRole::Prefill),
-                decode: choose(EndpointRole::Decode)
-                    .ok_or_else(|| not_run("no decode endpoint"))?,
-                run: None,
-            })
-        }
+        Verdict::Alone => place_alone(shared, request, &endpoints, tried),
     }
 }
 
+fn place_alone(
+    shared: &Arc<Shared>,
+    request: &Identified,
+    endpoints: &Endpoints,
+    tried: &Tried,
+) -> Result<Places, Failure> {
+    info!("request={} step=place outcome=alone", request.facts.attempt);
+    if tried.endpoints.is_empty() {
+        quota::alone(shared, request)?;
+    }
+    let now = shared.now();
+    let tried_at = &tried.endpoints;
+    let choose = |role| upstream::choose(shared, now, endpoints, request, role, tried_at);
+    let prefill = match &tried.cache {
+        Some(_) => None,
+        None => choose(EndpointRole::Prefill),
+    };
+    Ok(Places {
+        prefill,
+        decode: choose(EndpointRole::Decode).ok_or_else(|| not_run("no decode endpoint"))?,
+        run: None,
+    })
+}
+
 const fn refusal(why: Unplaced, retry_after: Duration) -> Failure {
     let reason = match why {
         Unplaced::NoEndpoint => "no endpoint takes work",
@@ -171,11 +254,16 @@
     }
 }
 
-fn ask(shared: &Shared, request: &Identified, now: Timestamp, number: u64) -> Ask {
+fn ask(shared: &Shared, request: &Identified, tried: &Tried, now: Timestamp, number: u64) -> Ask {
     let facts = &request.facts;
     let route = &request.route;
     let patience = first_event_patience(route).min(request.deadline.since(request.arrived));
     let waited = now.since(request.arrived);
+    let patience_left = patience.saturating_sub(waited);
+    let cache_left = tried
+        .cache
+        .as_ref()
+        .map(|held| held.time_left(request, now));
     let account = request.account.as_ref();
     let priority = account
         .and_then(|id| request.table.account(id))
@@ -188,8 +276,12 @@
         expected_output: facts.expected_output,
         priority: priority.unwrap_or(route.priority),
         target_left: route.target.saturating_sub(waited),
-        patience_left: patience.saturating_sub(waited),
+        patience_left: cache_left.map_or(patience_left, |left| left.min(patience_left)),
         data_centre: shared.settings.data_centre.clone(),
+        prefilled: tried
+            .cache
+            .as_ref()
+            .map(|held| held.endpoint.listed.id.clone()),
     }
 }
 
@@ -215,24 +307,19 @@
     request: &Identified,
     whole: &Whole,
     endpoint: &Arc<EndpointEntry>,
-    places: &Places,
-) -> Result<HeldCache, Failure> {
+    run: Option<&Run>,
+) -> Result<HeldCache, CallFailure> {
     let started = shared.now();
-    match prefill_at(shared, request, whole, endpoint).await {
-        Ok(held) => {
-            if let Some(run) = &places.run {
-                run.prefilled(shared.now().since(started));
-            }
-            Ok(held)
-        }
-        Err(failure) => {
-            info!(
-                "request={} step=prefill outcome={failure:?} endpoint={}",
-                request.facts.attempt, endpoint.listed.id
-            );
-            Err(not_run("the prefill failed"))
-        }
+    let held = prefill_at(shared, request, whole, endpoint).await;
+    match (&held, run) {
+        (Ok(_), Some(run)) => run.prefilled(shared.now().since(started)),
+        (Ok(_), None) => {}
+        (Err(failure), _) => info!(
+            "request={} step=prefill outcome={failure:?} endpoint={}",
+            request.facts.attempt, endpoint.listed.id
+        ),
     }
+    held
 }
 
 async fn prefill_at(
@@ -258,6 +345,7 @@
             shared: Arc::clone(shared),
             endpoint: Arc::clone(endpoint),
             handle,
+            made: now,
             held: true,
         }),
         None => Err(CallFailure::Unknown("the prefill's answer cannot be read")),
@@ -276,6 +364,7 @@
     shared: Arc<Shared>,
     endpoint: Arc<EndpointEntry>,
     handle: String,
+    made: Timestamp,
     held: bool,
 }
 
@@ -287,6 +376,14 @@
         }
     }
 
+    /// How long the endpoint keeps it.
+    fn time_left(&self, request: &Identified, now: Timestamp) -> Duration {
+        let service = request.table.service(&request.service);
+        let engine = service.and_then(|service| service.engine);
+        let life = engine.map_or(Duration::ZERO, |engine| engine.prefill_life);
+        (self.made + life).since(now)
+    }
+
     fn taken(mut self) {
         self.held = false;
     }
--- a/crates/mimosa-gateway/src/purse.rs
+++ b/crates/mimosa-gateway/src/purse.rs
@@ -27,6 +27,10 @@
 /// Time after which borrowed tokens are not used any more: a lower quota must hold soon.
 const LIFE: Duration = Duration::from_secs(3);
 
+/// Part of a second's rate that a gateway saves up for a time without a leader, as a divisor. More
+/// would come on top of what the leader gave out just before.
+const ALONE_BURST: u64 = 4;
+
 /// What this gateway may use.
 #[derive(Default)]
 pub(crate) struct Purse {
@@ -119,7 +123,7 @@
         account: &AccountId,
         cost: Tokens,
     ) -> Result<(), OverQuota> {
-        self.lock().alone.take(now, account, cost)
+        self.lock().alone.take_on_credit(now, account, cost)
     }
 
     /// Adopts the quotas, of which this gateway's even share is one of so many.
@@ -130,7 +134,7 @@
             let quota = account.quota?;
             let limits = QuotaLimits {
                 rate: TokenRate(quota.rate.0 / gateways),
-                burst: Tokens(quota.burst.0 / gateways),
+                burst: Tokens(quota.rate.0 / gateways / ALONE_BURST),
             };
             Some((account.id.clone(), limits))
         });
--- a/crates/mimosa-limit/src/quota.rs
+++ b/crates/mimosa-limit/src/quota.rs
@@ -24,6 +24,30 @@
     pub burst: Tokens,
 }
 
+/// How far the use of an account may go beyond its quota.
+///
+/// Whoever refuses inside a quota hurts a caller, and what is counted in two places never agrees to
+/// the token. What is tolerated is therefore used, but for a half of the slack: it covers what
+/// gateways admit by themselves while no leader answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tolerance {
+    /// Thousandths of the quota.
+    pub permille: u64,
+    /// Tokens, once in each window.
+    pub slack: Tokens,
+}
+
+impl Tolerance {
+    /// The limits by which a quota is held.
+    pub fn apply(self, limits: QuotaLimits) -> QuotaLimits {
+        let more = |value: u64| value + value * self.permille / 1_000;
+        QuotaLimits {
+            rate: TokenRate(more(limits.rate.0)),
+            burst: Tokens(more(limits.burst.0) + self.slack.0 / 2),
+        }
+    }
+}
+
 /// Why a cost was not taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OverQuota {
@@ -86,6 +110,31 @@
         Err(wait.map_or(OverQuota::Never, OverQuota::Until))
     }
 
+    /// Takes the cost of a request if anything at all is left; the rest is owed. For a small part of
+    /// a quota, which no single request may fit into.
+    ///
+    /// # Errors
+    ///
+    /// If nothing is left.
+    pub fn take_on_credit(
+        &mut self,
+        now: Timestamp,
+        account: &AccountId,
+        cost: Tokens,
+    ) -> Result<(), OverQuota> {
+        let Some(bucket) = self.buckets.get_mut(account) else {
+            return Ok(());
+        };
+        bucket.advance(now);
+        if bucket.level() > Amount::ZERO {
+            bucket.charge(now, cost.into());
+            return Ok(());
+        }
+        let owed = Amount::ZERO.minus(bucket.level()).plus(Amount(1));
+        let wait = owed.time_at(bucket.rate());
+        Err(wait.map_or(OverQuota::Never, OverQuota::Until))
+    }
+
     /// Gives back what was taken a moment ago and not used.
     pub fn give_back(
         &mut self,
--- a/crates/mimosa-limit/tests/quota.rs
+++ b/crates/mimosa-limit/tests/quota.rs
@@ -6,6 +6,7 @@
 use mimosa_limit::quota::OverQuota;
 use mimosa_limit::quota::QuotaLimits;
 use mimosa_limit::quota::Quotas;
+use mimosa_limit::quota::Tolerance;
 use mimosa_protocol::AccountId;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::TokenRate;
@@ -57,6 +58,25 @@
     expect_that!(total, gt(59_000));
 }
 
+/// What is tolerated is used, and never exceeded in any window.
+#[gtest]
+fn the_tolerance_is_used_and_kept() {
+    let tolerance = Tolerance {
+        permille: 100,
+        slack: Tokens(120_000),
+    };
+    let limits = QuotaLimits {
+        rate: TokenRate(23_000),
+        burst: Tokens(23_000),
+    };
+    let held = tolerance.apply(limits);
+    let window = 8;
+    let most = held.rate.0 * window + held.burst.0;
+    let allowed = (limits.rate.0 * window + limits.burst.0) * 11 / 10 + 120_000;
+    expect_that!(most, le(allowed));
+    expect_that!(most, ge(allowed - 60_000));
+}
+
 #[gtest]
 fn a_refusal_tells_when_there_is_room() {
     let start = Timestamp::from_secs(10);
--- a/crates/mimosa-schedule/src/fleet.rs
+++ b/crates/mimosa-schedule/src/fleet.rs
@@ -61,6 +61,8 @@
         pub patience_left: Duration,
         /// Where the gateway stands.
         pub data_centre: DataCentreId,
+        /// The endpoint that holds the KV cache already, after the decode failed elsewhere.
+        pub prefilled: Option<EndpointId>,
     }
 
     /// A request that runs already, told to a new scheduler.
@@ -74,12 +76,13 @@
     }
 
     /// How a run ended.
-    #[derive(Copy)]
     pub enum RunEnd {
         /// Complete, with so much output.
         Complete(Tokens),
         /// The decode endpoint had no room and did not run it.
         NoRoom,
+        /// An endpoint could not be reached or failed before the run started.
+        Unreachable(EndpointId),
         /// It failed, or its caller left.
         Broken,
     }
@@ -285,7 +288,7 @@
             Event::Held(held) => self.hold(now, held),
             Event::Prefilled { ticket, took } => self.prefilled(now, &ticket, took),
             Event::Started { ticket } => self.started(now, &ticket),
-            Event::Ended { ticket, end } => self.ended(now, &ticket, end),
+            Event::Ended { ticket, end } => self.ended(now, &ticket, &end),
             Event::GatewayLost { gateway } => self.gateway_lost(now, &gateway),
             Event::Tick => {}
         }
@@ -386,6 +389,7 @@
         };
         if let Some(endpoint) = self.endpoints.get_mut(prefill) {
             let alone = endpoint.prefilled(now, ticket);
+            endpoint.answered();
             if alone {
                 self.pace.prefilled(run.ask.prompt, took);
             }
@@ -400,10 +404,16 @@
             && let Some(load) = endpoint.loads.get_mut(ticket)
         {
             load.from = now;
+            endpoint.answered();
         }
     }
 
-    fn ended(&mut self, now: Timestamp, ticket: &Ticket, end: RunEnd) {
+    fn ended(&mut self, now: Timestamp, ticket: &Ticket, end: &RunEnd) {
+        if let RunEnd::Unreachable(endpoint) = end
+            && let Some(endpoint) = self.endpoints.get_mut(endpoint)
+        {
+            endpoint.failed(now);
+        }
         self.waiting.retain(|each| each.ask.ticket != *ticket);
         let Some(run) = self.runs.remove(ticket) else {
             return;
@@ -420,7 +430,7 @@
         match (end, load) {
             (RunEnd::Complete(output), Some(load)) => {
                 let took = now.since(load.from);
-                self.pace.completed(&run.ask, output, took);
+                self.pace.completed(&run.ask, *output, took);
             }
             (RunEnd::NoRoom, _) => endpoint.full_until = now + self.settings.no_room_pause,
             _ => {}
@@ -431,7 +441,7 @@
         let runs = self.runs.keys().filter(|ticket| ticket.gateway == *gateway);
         let lost: Vec<Ticket> = runs.cloned().collect();
         for ticket in &lost {
-            self.ended(now, ticket, RunEnd::Broken);
+            self.ended(now, ticket, &RunEnd::Broken);
         }
         self.waiting
             .retain(|each| each.ask.ticket.gateway != *gateway);
@@ -484,12 +494,28 @@
 
     fn find(&self, now: Timestamp, waiting: &Waiting) -> Option<Placement> {
         let ask = &waiting.ask;
+        if let Some(holder) = &ask.prefilled {
+            let load = Load {
+                prompt: ask.prompt,
+                output: self.pace.expected_output(ask),
+                from: now + self.settings.first_output_time,
+            };
+            let home = self
+                .endpoints
+                .get(holder)
+                .and_then(|each| each.data_centre.clone());
+            let decode = self.find_decode(now, &load, home.as_ref())?;
+            return Some(Placement {
+                prefill: None,
+                decode,
+            });
+        }
         let prefill_time = self.pace.prefill_time(ask.prompt);
         let prefills = self.endpoints.iter().filter(|(_, each)| each.prefills());
         let has_prefill = prefills.clone().next().is_some();
         let limit = now + self.settings.prefill_lookahead;
         let prefill = prefills
-            .filter(|(_, each)| each.takes_cold(now))
+            .filter(|(_, each)| each.takes_work(now))
             .map(|(id, each)| (id, each, each.free_at(now)))
             .filter(|(.., free_at)| *free_at <= limit)
             .min_by_key(|(_, each, free_at)| (!each.is_in(&ask.data_centre), *free_at));
@@ -527,7 +553,7 @@
         let token_time = self.pace.token_time();
         self.endpoints
             .iter()
-            .filter(|(_, each)| each.decodes() && each.takes_cold(now) && now >= each.full_until)
+            .filter(|(_, each)| each.decodes() && each.takes_work(now) && now >= each.full_until)
             .filter(|(_, each)| each.loads.len() < self.view.slots as usize)
             .filter_map(|(id, each)| {
                 let peak = forecast::peak(now, each.loads.values(), load, token_time);
--- a/crates/mimosa-schedule/src/fleet/endpoint.rs
+++ b/crates/mimosa-schedule/src/fleet/endpoint.rs
@@ -13,6 +13,11 @@
 /// Time between two requests to a cold endpoint.
 const COLD_INTERVAL: Duration = Duration::from_millis(100);
 
+/// First pause of an endpoint that failed.
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
+/// Longest pause: an endpoint that is back waits no longer than this for work.
+const MAX_PAUSE: Duration = Duration::from_secs(3);
+
 /// One endpoint.
 #[derive(Debug, Default)]
 pub(super) struct FleetEndpoint {
@@ -26,6 +31,8 @@
     /// What is prefilled here, with the time when each is expected to be done.
     prefills: BTreeMap<Ticket, Timestamp>,
     last_cold: Timestamp,
+    away_until: Timestamp,
+    failures: u32,
 }
 
 impl FleetEndpoint {
@@ -46,9 +53,27 @@
         self.prefills.values().copied().max().unwrap_or(now)
     }
 
-    /// Whether it is warm, or has had a pause since its last request.
-    pub(super) fn takes_cold(&self, now: Timestamp) -> bool {
-        now >= self.cold_until || now >= self.last_cold + COLD_INTERVAL
+    /// Whether it was reached lately, and is warm or has had a pause since its last request.
+    pub(super) fn takes_work(&self, now: Timestamp) -> bool {
+        let is_warm = now >= self.cold_until || now >= self.last_cold + COLD_INTERVAL;
+        is_warm && now >= self.away_until
+    }
+
+    /// It could not be reached, or failed: it gets nothing for a while, and longer each time.
+    pub(super) fn failed(&mut self, now: Timestamp) {
+        // Requests that were under way together count as one failure.
+        if now < self.away_until {
+            return;
+        }
+        let pause = FIRST_PAUSE * 2_u32.pow(self.failures.min(8));
+        self.away_until = now + pause.min(MAX_PAUSE);
+        self.failures += 1;
+    }
+
+    /// It works.
+    pub(super) fn answered(&mut self) {
+        self.failures = 0;
+        self.away_until = Timestamp::ZERO;
     }
 
     pub(super) fn count_cold(&mut self, now: Timestamp) {
--- a/crates/mimosa-schedule/src/fleet/waiting.rs
+++ b/crates/mimosa-schedule/src/fleet/waiting.rs
@@ -19,6 +19,14 @@
 
 impl Waiting {
     pub(super) fn new(now: Timestamp, ask: Ask, settings: &Settings) -> Self {
+        if ask.prefilled.is_some() {
+            return Self {
+                target: now + ask.target_left,
+                given_up_at: now + ask.patience_left,
+                is_late: false,
+                ask,
+            };
+        }
         let patience = ask.patience_left * settings.late_permille / 1_000;
         Self {
             target: now + ask.target_left,
@@ -28,8 +36,9 @@
         }
     }
 
-    /// What can be in time goes first, then the more urgent, then the earlier target.
-    pub(super) const fn order(&self) -> (bool, u8, Timestamp) {
-        (self.is_late, self.ask.priority, self.target)
+    /// What can be in time goes first, then what holds a KV cache that soon lapses, then the more urgent, then the earlier target.
+    pub(super) const fn order(&self) -> (bool, bool, u8, Timestamp) {
+        let has_no_cache = self.ask.prefilled.is_none();
+        (self.is_late, has_no_cache, self.ask.priority, self.target)
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,14 +2,23 @@
 
 use std::collections::BTreeSet;
 use std::net::IpAddr;
+use std::time::Duration;
 
 use mimosa_config::ControlSettings;
 use mimosa_config::GatewaySettings;
 use mimosa_config::InstanceSettings;
+use mimosa_consensus::Seats;
 use mimosa_control::settings::Discovery;
 use mimosa_gateway::settings::Retries;
+use mimosa_limit::quota::Tolerance;
 use mimosa_protocol::InstanceId;
 
+/// Silence after which another control instance takes a voter's seat: longer than an election, and
+/// short enough to be done before the next loss is to be borne.
+const REPLACE_AFTER: Duration = Duration::from_millis(1_500);
+/// Silence after which a control instance without a vote is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(20);
+
 /// What a control instance is told.
 pub fn control(instance: &InstanceSettings, settings: ControlSettings) -> mimosa_control::Settings {
     let routing = settings.routing.unwrap_or_default();
@@ -19,6 +28,7 @@
         seeds: seeds.clone(),
         port: settings.peer_listen.port(),
     });
+    let defaults = mimosa_control::Settings::default();
     let replicas = settings.replicas.into_iter();
     let operators = settings.operators.into_iter();
     mimosa_control::Settings {
@@ -34,12 +44,26 @@
         operators: operators
             .map(|operator| (operator.id, operator.key_digest))
             .collect(),
+        seats: has_seeds.then(|| Seats {
+            voters: 2 * routing.tolerated_losses as usize + 1,
+            replace_after: REPLACE_AFTER,
+            forget_after: FORGET_AFTER,
+        }),
+        quota_tolerance: Tolerance {
+            permille: routing.quota_overage.0,
+            slack: routing.quota_slack,
+        },
+        election_timeout: if has_seeds {
+            routing.election_timeout
+        } else {
+            defaults.election_timeout
+        },
         found: routing.found && seeds.contains(&instance.id),
         founders: seeds,
         discovery,
         heartbeat: settings.heartbeat,
         key_lease: settings.key_lease,
-        ..mimosa_control::Settings::default()
+        ..defaults
     }
 }
 
