Refuse new streams late in a drain

Ruled out: streams taken early, which end in time. Change: a draining gateway refuses streams after a quarter of the drain time, other requests after 85 percent, as not run, and closes the connection.

--- a/crates/mimosa-gateway/src/serve.rs
+++ b/crates/mimosa-gateway/src/serve.rs
@@ -2,10 +2,13 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderValue;
 use log::info;
 
 use crate::answer::Body;
@@ -19,6 +22,10 @@
 use crate::shared::Shared;
 use crate::upstream::Whole;
 
+/// When callers come back that were refused by an instance that shuts down: another one serves them
+/// at once.
+const SHUTDOWN_RETRY: Duration = Duration::from_millis(20);
+
 /// Answers one request of a caller.
 pub(crate) async fn answer(
     shared: Arc<Shared>,
@@ -38,8 +45,15 @@
             return Ok(failure.response(shared.dialect.as_ref()));
         }
     };
-    let served = serve(&shared, &identified, request).await;
-    Ok(served.unwrap_or_else(|failure| {
+    let served = if shared.is_too_late_for(now, identified.route.repeat) {
+        Err(Failure::NotRun {
+            reason: "this instance shuts down",
+            retry_after: SHUTDOWN_RETRY,
+        })
+    } else {
+        serve(&shared, &identified, request).await
+    };
+    let mut response = served.unwrap_or_else(|failure| {
         info!(
             "request={} step=answer outcome={} reason=\"{}\" route={} took_ms={}",
             identified.facts.attempt,
@@ -49,7 +63,12 @@
             shared.now().since(identified.arrived).as_millis()
         );
         failure.response(shared.dialect.as_ref())
-    }))
+    });
+    if shared.is_draining() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(response)
 }
 
 async fn serve(
--- a/crates/mimosa-gateway/src/server.rs
+++ b/crates/mimosa-gateway/src/server.rs
@@ -3,7 +3,6 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hyper::Request;
@@ -109,7 +108,7 @@
             "event=stop role=gateway instance={}",
             self.shared.settings.instance
         );
-        self.shared.draining.store(true, Ordering::Relaxed);
+        self.shared.drain();
         self.stop.notify_one();
         if let Err(e) = self.accepting.await {
             warn!("the accepting task failed: {e}");
--- a/crates/mimosa-gateway/src/shared.rs
+++ b/crates/mimosa-gateway/src/shared.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -15,6 +14,7 @@
 use mimosa_hold::retry::RetrySettings;
 use mimosa_protocol::ServiceId;
 use mimosa_protocol::Timestamp;
+use mimosa_route::Repeat;
 
 use crate::dialect::Dialect;
 use crate::directory::Directory;
@@ -22,6 +22,12 @@
 use crate::purse::Purse;
 use crate::settings::Settings;
 
+/// Part of the drain time, in thousandths, in which new streams are still taken: the platform needs
+/// some seconds to send nothing more, and a stream lasts for most of the drain time.
+const STREAM_DRAIN_PART: u32 = 250;
+/// Part of the drain time, in thousandths, in which other requests are still taken.
+const PLAIN_DRAIN_PART: u32 = 850;
+
 /// What all requests share.
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
@@ -29,7 +35,8 @@
     pub(crate) directory: Directory,
     pub(crate) dispatch: Arc<Dispatch>,
     pub(crate) purse: Purse,
-    pub(crate) draining: AtomicBool,
+    /// When a shutdown was asked for, in microseconds; 0 before.
+    drains_since: AtomicU64,
     retries: Mutex<HashMap<ServiceId, RetryBudget>>,
     started: Instant,
     base: Timestamp,
@@ -49,7 +56,7 @@
             directory,
             dispatch: Arc::default(),
             purse: Purse::default(),
-            draining: AtomicBool::new(false),
+            drains_since: AtomicU64::new(0),
             retries: Mutex::default(),
             started: Instant::now(),
             base: Timestamp::ZERO + since_epoch,
@@ -72,8 +79,28 @@
         z ^ (z >> 31)
     }
 
+    /// Takes little new work from now on.
+    pub(crate) fn drain(&self) {
+        let now = self.now().as_micros();
+        self.drains_since.store(now, Ordering::Relaxed);
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+        self.drains_since.load(Ordering::Relaxed) > 0
+    }
+
+    /// Whether a request that comes now would probably be cut by the end of the drain time.
+    pub(crate) fn is_too_late_for(&self, now: Timestamp, repeat: Repeat) -> bool {
+        let since = Timestamp(self.drains_since.load(Ordering::Relaxed));
+        if since == Timestamp::ZERO {
+            return false;
+        }
+        let part = if repeat.is_stream() {
+            STREAM_DRAIN_PART
+        } else {
+            PLAIN_DRAIN_PART
+        };
+        now.since(since) > self.settings.drain_time * part / 1_000
     }
 
     /// Counts a request for a service: it earns a part of a retry.
