--- a/crates/mimosa-consensus/src/status.rs
+++ b/crates/mimosa-consensus/src/status.rs
@@ -13,6 +13,14 @@
 use crate::replica::Role;
 
 impl Replica {
+    /// The first entry of a leader's own term; `None` if this replica does not lead.
+    pub const fn leads_from(&self) -> Option<LogIndex> {
+        match &self.role {
+            Role::Leader(leader) => Some(leader.first_entry),
+            _ => None,
+        }
+    }
+
     /// Hashes all that its future depends on but the settings and the times, for a search of
     /// states in which a timeout may come at any moment.
     #[doc(hidden)]
--- a/crates/mimosa-control/src/replicator.rs
+++ b/crates/mimosa-control/src/replicator.rs
@@ -45,6 +45,8 @@
     pub term: u64,
     /// The newest committed log index that this instance knows of.
     pub committed: u64,
+    /// The first log index of this leader's term; 0 if it does not lead.
+    pub leads_from: u64,
     /// The instances with a vote.
     pub voters: Vec<String>,
     /// The instances that are catching up.
--- a/crates/mimosa-control/src/replicator/replicated/core.rs
+++ b/crates/mimosa-control/src/replicator/replicated/core.rs
@@ -372,6 +372,7 @@
             leader: self.replica.leader().map(|id| id.instance.to_string()),
             term: self.replica.term().get(),
             committed: self.replica.commit().get(),
+            leads_from: self.replica.leads_from().map_or(0, LogIndex::get),
             voters: names(&members.voters),
             learners: names(&members.learners),
             fault: self.fault.clone(),
--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -10,6 +10,7 @@
 
 use log::info;
 use log::warn;
+use mimosa_limit::quota::NewLevel;
 use mimosa_limit::quota::OverQuota;
 use mimosa_limit::quota::QuotaLimits;
 use mimosa_limit::quota::Quotas;
@@ -71,6 +72,8 @@
 struct Inner {
     leads: bool,
     lead_since: Timestamp,
+    /// The first log index of this term.
+    leads_from: u64,
     fleets: HashMap<ServiceId, Fleet>,
     services: HashMap<Ticket, ServiceId>,
     gateways: HashMap<InstanceId, Connected>,
@@ -168,8 +171,15 @@
 
     /// Takes in what a gateway says.
     pub fn take_in(&self, gateway: &InstanceId, message: GatewayMessage) {
+        if !self.lock().leads {
+            // A gateway may know of this instance's lead before the next look at it.
+            self.look();
+        }
         let now = self.now();
         let mut inner = self.lock();
+        if inner.leads {
+            self.configure(now, &mut inner);
+        }
         let ticket = |number| Ticket {
             gateway: gateway.clone(),
             number,
@@ -189,11 +199,11 @@
                     inner.send(gateway, ControlMessage::Queued { number });
                 }
             }
+            GatewayMessage::Borrow { account, .. } if !inner.leads => {
+                inner.send(gateway, ControlMessage::NotLending { account });
+            }
             GatewayMessage::Borrow { account, wanted } => {
-                let lent = match inner.leads {
-                    true => inner.quotas.lend(now, &account, wanted),
-                    false => Tokens::ZERO,
-                };
+                let lent = inner.quotas.lend(now, &account, wanted);
                 inner.send(gateway, ControlMessage::Lent { account, lent });
             }
             GatewayMessage::Held { service, held } => {
@@ -233,7 +243,8 @@
     /// Looks at who leads, what is configured, and the time. Returns when to look again.
     fn look(&self) -> Timestamp {
         let now = self.now();
-        let leads = self.replicator.status().role == "leader";
+        let status = self.replicator.status();
+        let leads = status.role == "leader";
         let mut inner = self.lock();
         if leads != inner.leads {
             info!("scheduler={}", if leads { "started" } else { "stopped" });
@@ -248,6 +259,7 @@
         if !leads {
             return now + LOOK_PERIOD;
         }
+        inner.leads_from = status.leads_from;
         self.configure(now, &mut inner);
         inner.forget_lost(now);
         let services: Vec<ServiceId> = inner.fleets.keys().cloned().collect();
@@ -264,6 +276,8 @@
         if inner.routing == Some(changed) && Arc::ptr_eq(&inner.list, &list) {
             return;
         }
+        // The first configuration of a leader whose predecessor counted already.
+        let takes_over = inner.routing.is_none() && changed > 0 && changed < inner.leads_from;
         if inner.routing != Some(changed) {
             let (document, out) = self.shared.read(|machine| {
                 let routing = machine.routing();
@@ -281,7 +295,11 @@
             inner.routing = Some(changed);
         }
         inner.list = list;
-        inner.configure_quotas(now, self.tolerance);
+        let new = match takes_over {
+            true => self.tolerance.successor_level(),
+            false => NewLevel::Full,
+        };
+        inner.configure_quotas(now, self.tolerance, new);
         inner.configure_fleets(now);
     }
 
@@ -297,6 +315,10 @@
 
 impl Inner {
     fn configure_fleets(&mut self, now: Timestamp) {
+        if self.list.term == 0 {
+            // This leader has not read the list yet.
+            return;
+        }
         let silent_until = self.lead_since + HANDOVER_TIME;
         let services = self.table.configuration().services.iter();
         let views: Vec<(ServiceId, View)> = services
@@ -320,7 +342,7 @@
         }
     }
 
-    fn configure_quotas(&mut self, now: Timestamp, tolerance: Tolerance) {
+    fn configure_quotas(&mut self, now: Timestamp, tolerance: Tolerance, new: NewLevel) {
         let accounts = self.table.configuration().accounts.iter();
         let limits = accounts.filter_map(|account| {
             let quota = account.quota?;
@@ -330,7 +352,7 @@
             };
             Some((account.id.clone(), tolerance.apply(limits)))
         });
-        self.quotas.configure(now, limits);
+        self.quotas.configure(now, limits, new);
     }
 
     /// Charges a request to its account. Returns whether the account had enough left.
--- a/crates/mimosa-control/src/routing/listing.rs
+++ b/crates/mimosa-control/src/routing/listing.rs
@@ -7,8 +7,8 @@
 use log::warn;
 use mimosa_route::EndpointList;
 use tokio::sync::watch;
-use tokio::time::MissedTickBehavior;
-use tokio::time::interval;
+use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::replicator::Replicator;
@@ -17,6 +17,9 @@
 /// Longest time for one read of the whole list.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time between two looks at whether a read is due.
+const LOOK_PERIOD: Duration = Duration::from_millis(50);
+
 /// Reads the list while this instance leads, and publishes each change, until the task is aborted.
 pub async fn run(
     source: Arc<dyn EndpointSource>,
@@ -24,15 +27,17 @@
     every: Duration,
     published: watch::Sender<Arc<EndpointList>>,
 ) {
-    let mut ticks = interval(every);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut failing = false;
+    let mut read: Option<(u64, Instant)> = None;
     loop {
-        ticks.tick().await;
+        sleep(LOOK_PERIOD.min(every)).await;
         let status = replicator.status();
-        if status.role != "leader" {
+        // A new leader reads at once.
+        let is_due = read.is_none_or(|(term, at)| term != status.term || at.elapsed() >= every);
+        if status.role != "leader" || !is_due {
             continue;
         }
+        read = Some((status.term, Instant::now()));
         let listed = match timeout(READ_TIMEOUT, source.list()).await {
             Ok(Ok(listed)) => listed,
             Ok(Err(e)) => {
--- a/crates/mimosa-gateway/src/control_link.rs
+++ b/crates/mimosa-gateway/src/control_link.rs
@@ -113,6 +113,7 @@
         ControlMessage::Lent { account, lent } => {
             shared.purse.lent(shared.now(), &account, lent);
         }
+        ControlMessage::NotLending { account } => shared.purse.refused(&account),
         ControlMessage::Queued { number } => shared.dispatch.queued(number),
         ControlMessage::Placed { number, placement } => shared.dispatch.placed(number, placement),
         ControlMessage::Unplaced {
--- a/crates/mimosa-gateway/src/dispatch.rs
+++ b/crates/mimosa-gateway/src/dispatch.rs
@@ -121,6 +121,13 @@
         }
     }
 
+    /// Whether there is a connection to the leader.
+    pub(crate) fn has_leader(&self) -> bool {
+        let inner = self.lock();
+        let leader = inner.leader.as_ref();
+        leader.is_some_and(|leader| inner.links.contains_key(leader))
+    }
+
     pub(crate) fn queued(&self, number: u64) {
         let queued = self
             .lock()
--- a/crates/mimosa-gateway/src/purse.rs
+++ b/crates/mimosa-gateway/src/purse.rs
@@ -10,6 +10,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use mimosa_limit::quota::NewLevel;
 use mimosa_limit::quota::OverQuota;
 use mimosa_limit::quota::QuotaLimits;
 use mimosa_limit::quota::Quotas;
@@ -43,6 +44,7 @@
 struct Inner {
     held: HashMap<AccountId, Held>,
     asked: HashSet<AccountId>,
+    not_lending: HashSet<AccountId>,
     /// Used while no leader answers.
     alone: Quotas,
 }
@@ -111,6 +113,20 @@
         self.lent.notify_waiters();
     }
 
+    /// The one that was asked does not lead: requests go on without it.
+    pub(crate) fn refused(&self, account: &AccountId) {
+        let mut inner = self.lock();
+        inner.asked.remove(account);
+        inner.not_lending.insert(account.clone());
+        drop(inner);
+        self.lent.notify_waiters();
+    }
+
+    /// Whether the last answer for an account was that the one asked does not lead.
+    pub(crate) fn take_not_lending(&self, account: &AccountId) -> bool {
+        self.lock().not_lending.remove(account)
+    }
+
     /// The leader did not answer: it may be asked again.
     pub(crate) fn unanswered(&self, account: &AccountId) {
         self.lock().asked.remove(account);
@@ -138,7 +154,7 @@
             };
             Some((account.id.clone(), limits))
         });
-        self.lock().alone.configure(now, limits);
+        self.lock().alone.configure(now, limits, NewLevel::Full);
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/crates/mimosa-gateway/src/quota.rs
+++ b/crates/mimosa-gateway/src/quota.rs
@@ -36,8 +36,11 @@
             Drawn::Refused => return Err(Failure::OverQuota(RETRY)),
             Drawn::Empty if !asked => return alone(shared, request),
             Drawn::Empty => {
-                if timeout(LEND_PATIENCE, lent).await.is_err() {
+                let answered = timeout(LEND_PATIENCE, lent).await.is_ok();
+                if !answered {
                     shared.purse.unanswered(account);
+                }
+                if !answered || shared.purse.take_not_lending(account) {
                     return alone(shared, request);
                 }
             }
--- a/crates/mimosa-gateway/src/server.rs
+++ b/crates/mimosa-gateway/src/server.rs
@@ -102,6 +102,11 @@
         self.readiness
     }
 
+    /// Whether it is connected to the control instance that leads.
+    pub fn has_leader(&self) -> bool {
+        self.shared.dispatch.has_leader()
+    }
+
     /// Is not ready any more, lets work in hand finish within the drain time, and stops.
     pub async fn shutdown(self) {
         info!(
--- a/crates/mimosa-limit/src/quota.rs
+++ b/crates/mimosa-limit/src/quota.rs
@@ -38,6 +38,11 @@
 }
 
 impl Tolerance {
+    /// The level of the buckets of whoever takes over the counting.
+    pub fn successor_level(self) -> NewLevel {
+        NewLevel::AtMost(Tokens(self.slack.0 / 4))
+    }
+
     /// The limits by which a quota is held.
     pub fn apply(self, limits: QuotaLimits) -> QuotaLimits {
         let more = |value: u64| value + value * self.permille / 1_000;
@@ -48,6 +53,24 @@
     }
 }
 
+/// The level of an account's new bucket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NewLevel {
+    /// The whole burst: nobody counted for the account before.
+    Full,
+    /// At most so much: whoever counted before may have given out a whole burst just now.
+    AtMost(Tokens),
+}
+
+impl NewLevel {
+    fn of(self, burst: Tokens) -> Amount {
+        match self {
+            Self::Full => burst.into(),
+            Self::AtMost(level) => level.min(burst).into(),
+        }
+    }
+}
+
 /// Why a cost was not taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OverQuota {
@@ -64,12 +87,12 @@
 }
 
 impl Quotas {
-    /// Adopts the limits of all accounts. A new bucket starts empty: whoever counted before may
-    /// have given out a whole burst just now.
+    /// Adopts the limits of all accounts, and the level of those that were not known before.
     pub fn configure(
         &mut self,
         now: Timestamp,
         accounts: impl IntoIterator<Item = (AccountId, QuotaLimits)>,
+        new: NewLevel,
     ) {
         let mut old = std::mem::take(&mut self.buckets);
         for (account, limits) in accounts {
@@ -79,7 +102,7 @@
                     bucket.set_limits(now, rate, burst);
                     bucket
                 }
-                None => Bucket::new(now, rate, burst, Amount::ZERO),
+                None => Bucket::new(now, rate, burst, new.of(burst)),
             };
             self.buckets.insert(account, bucket);
         }
--- a/crates/mimosa-limit/tests/quota.rs
+++ b/crates/mimosa-limit/tests/quota.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use mimosa_limit::quota::NewLevel;
 use mimosa_limit::quota::OverQuota;
 use mimosa_limit::quota::QuotaLimits;
 use mimosa_limit::quota::Quotas;
@@ -27,7 +28,7 @@
         rate: TokenRate(rate),
         burst: Tokens(rate),
     };
-    quotas.configure(now, [(account(), limits)]);
+    quotas.configure(now, [(account(), limits)], NewLevel::AtMost(Tokens(0)));
 }
 
 /// An account sends ten times its rate for a minute; every window of eight seconds holds.
--- a/crates/mimosa-route/src/message.rs
+++ b/crates/mimosa-route/src/message.rs
@@ -116,6 +116,11 @@
             /// How much; may be less than wanted.
             lent: Tokens,
         },
+        /// The receiver of [`GatewayMessage::Borrow`] does not lead.
+        NotLending {
+            /// The account.
+            account: AccountId,
+        },
         /// The receiver of an ask does not lead.
         NotLeading {
             /// The gateway's number for the request.
--- a/crates/mimosa-schedule/src/fleet.rs
+++ b/crates/mimosa-schedule/src/fleet.rs
@@ -250,6 +250,8 @@
     waiting: Vec<Waiting>,
     runs: BTreeMap<Ticket, Run>,
     pace: Pace,
+    /// Whether the endpoints were told; requests wait before.
+    is_configured: bool,
     /// Until then nothing is placed: gateways may still tell what runs already.
     silent_until: Timestamp,
 }
@@ -260,6 +262,7 @@
     pub fn new(settings: Settings, silent_until: Timestamp) -> Self {
         Self {
             silent_until,
+            is_configured: false,
             pace: Pace::new(settings.first_prefill_rate, settings.first_token_time),
             settings,
             view: View::default(),
@@ -330,19 +333,20 @@
             known.cold_until = each.cold_until;
         }
         self.view = view;
+        self.is_configured = true;
     }
 
     fn ask(&mut self, now: Timestamp, ask: Ask, actions: &mut Vec<Action>) {
         let size = ask.prompt + ask.max_output;
         let ticket = ask.ticket.clone();
-        if !self.endpoints.values().any(FleetEndpoint::decodes) {
+        if self.is_configured && !self.endpoints.values().any(FleetEndpoint::decodes) {
             return actions.push(Action::Refuse {
                 ticket,
                 why: Unplaced::NoEndpoint,
                 retry_after: self.settings.no_room_pause,
             });
         }
-        if size > self.view.memory && ask.prompt > self.view.memory {
+        if self.is_configured && size > self.view.memory && ask.prompt > self.view.memory {
             return actions.push(Action::Refuse {
                 ticket,
                 why: Unplaced::TooLarge,
--- a/crates/mimosa-schedule/src/pick.rs
+++ b/crates/mimosa-schedule/src/pick.rs
@@ -24,8 +24,6 @@
     pub near: bool,
 }
 
-/// Latency assumed of an endpoint that has not answered yet.
-const UNKNOWN_LATENCY: Duration = Duration::from_millis(10);
 /// How much a failing endpoint's cost grows, in multiples at a failure part of one whole.
 const FAILURE_WEIGHT: u64 = 8;
 /// What the way to another data centre costs, in thousandths of the whole cost. It decides between
@@ -37,21 +35,24 @@
 /// The place of the endpoint with the lowest cost; a random number decides between equal ones.
 /// Paused endpoints come last.
 pub fn pick(candidates: &[Candidate], random: u64) -> Option<usize> {
+    // An endpoint that has not answered yet counts as the fastest, or it would never be tried.
+    let fastest = candidates.iter().filter_map(|each| each.latency).min();
+    let fastest = fastest.unwrap_or(Duration::from_millis(1));
     let shift = usize::try_from(random % candidates.len().max(1) as u64).ok()?;
     (0..candidates.len())
         .map(|place| (place + shift) % candidates.len())
         .min_by_key(|place| {
             let each = &candidates[*place];
-            (each.paused, cost(each))
+            (each.paused, cost(each, fastest))
         })
 }
 
 /// Expected time of one more request, in microseconds, with what failures and distance add.
-fn cost(candidate: &Candidate) -> u64 {
+fn cost(candidate: &Candidate, fastest: Duration) -> u64 {
     let width = candidate.width.max(1);
     let work = candidate.own.max(candidate.told.unwrap_or(0));
     let load_permille = WHOLE + work * WHOLE / width;
-    let latency = candidate.latency.unwrap_or(UNKNOWN_LATENCY);
+    let latency = candidate.latency.unwrap_or(fastest);
     let latency = u64::try_from(latency.as_micros())
         .unwrap_or(u64::MAX)
         .max(1);
--- a/crates/mimosa-schedule/tests/pick.rs
+++ b/crates/mimosa-schedule/tests/pick.rs
@@ -70,3 +70,17 @@
     expect_that!(health.is_paused(later), eq(false));
     expect_that!(health.failing_permille(later), lt(50));
 }
+
+#[gtest]
+fn an_endpoint_that_never_answered_is_tried() {
+    let known = Candidate {
+        latency: Some(Duration::from_micros(300)),
+        ..idle()
+    };
+    let new = Candidate {
+        latency: None,
+        near: true,
+        ..idle()
+    };
+    expect_that!(pick(&[known, new], 0), some(eq(1)));
+}
