--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -50,6 +50,8 @@
 
 /// Time in which gateways tell a new leader what they hold, before it places anything.
 const HANDOVER_TIME: Duration = Duration::from_millis(200);
+/// Time between two lines on the state of the schedulers.
+const SUMMARY_PERIOD: Duration = Duration::from_secs(1);
 /// Time between two looks at who leads.
 const LOOK_PERIOD: Duration = Duration::from_millis(100);
 /// Time after which what a gateway without a connection held counts as gone. A gateway that only
@@ -72,6 +74,8 @@
 struct Inner {
     leads: bool,
     lead_since: Timestamp,
+    /// When the state of the schedulers was last logged.
+    summarised: Timestamp,
     /// The first log index of this term.
     leads_from: u64,
     fleets: HashMap<ServiceId, Fleet>,
@@ -206,6 +210,7 @@
                 let lent = inner.quotas.lend(now, &account, wanted);
                 inner.send(gateway, ControlMessage::Lent { account, lent });
             }
+            GatewayMessage::Holding { numbers } => inner.reconcile(now, gateway, &numbers),
             GatewayMessage::Held { service, held } => {
                 inner
                     .services
@@ -266,6 +271,14 @@
         for service in &services {
             inner.handle(now, service, Event::Tick);
         }
+        if now.since(inner.summarised) >= SUMMARY_PERIOD {
+            inner.summarised = now;
+            for (service, fleet) in &inner.fleets {
+                if fleet.waiting() + fleet.running() > 0 {
+                    info!("service={service} {}", fleet.summary(now));
+                }
+            }
+        }
         let wakes = inner.fleets.values().filter_map(|each| each.next_wake(now));
         wakes.min().unwrap_or(now + LOOK_PERIOD)
     }
@@ -446,6 +459,23 @@
         }
     }
 
+    /// Ends what a gateway no longer holds: it told so on a connection that broke.
+    fn reconcile(&mut self, now: Timestamp, gateway: &InstanceId, numbers: &[u64]) {
+        let known = self.services.iter();
+        let over: Vec<(Ticket, ServiceId)> = known
+            .filter(|(ticket, _)| ticket.gateway == *gateway)
+            .filter(|(ticket, _)| !numbers.contains(&ticket.number))
+            .map(|(ticket, service)| (ticket.clone(), service.clone()))
+            .collect();
+        for (ticket, service) in over {
+            info!("gateway={gateway} number={} state=over", ticket.number);
+            self.services.remove(&ticket);
+            self.charges.remove(&ticket);
+            let end = RunEnd::Broken;
+            self.handle(now, &service, Event::Ended { ticket, end });
+        }
+    }
+
     fn forget_lost(&mut self, now: Timestamp) {
         let lost = self.lost.iter().filter(|(_, at)| now >= **at);
         let lost: Vec<InstanceId> = lost.map(|(gateway, _)| gateway.clone()).collect();
--- a/crates/mimosa-gateway/src/control_link.rs
+++ b/crates/mimosa-gateway/src/control_link.rs
@@ -76,7 +76,7 @@
                 }
                 Event::Message(message) => {
                     let Some(outbox) = &outbox else { continue };
-                    take_in(&shared, message, outbox, &heard);
+                    take_in(&shared, &instance, message, outbox, &heard);
                 }
             }
         }
@@ -89,6 +89,7 @@
 
 fn take_in(
     shared: &Shared,
+    instance: &InstanceId,
     message: ControlMessage,
     outbox: &Outbox<GatewayMessage>,
     heard: &mpsc::UnboundedSender<Vec<InstanceId>>,
@@ -106,6 +107,7 @@
             }
             let leader = directory.leader();
             shared.dispatch.leader_is(shared.now(), leader.as_ref());
+            shared.dispatch.tell_holding(instance);
             heard.send(state.members).ok();
         }
         ControlMessage::Document { version, bytes } => directory.take_document(version, &bytes),
--- a/crates/mimosa-gateway/src/dispatch.rs
+++ b/crates/mimosa-gateway/src/dispatch.rs
@@ -121,6 +121,16 @@
         }
     }
 
+    /// Answers a heartbeat of a control instance, if it leads: what waits or runs.
+    pub(crate) fn tell_holding(&self, instance: &InstanceId) {
+        let inner = self.lock();
+        if inner.leader.as_ref() == Some(instance) {
+            let numbers = inner.asked.keys().chain(inner.runs.keys());
+            let numbers = numbers.copied().collect();
+            inner.send(GatewayMessage::Holding { numbers });
+        }
+    }
+
     /// Whether there is a connection to the leader.
     pub(crate) fn has_leader(&self) -> bool {
         let inner = self.lock();
@@ -254,8 +264,10 @@
     }
 
     fn answer(&self, number: u64, answer: Answer) {
-        let asked = self.lock().asked.remove(&number);
-        match asked.and_then(|asked| asked.answer) {
+        // The entry stays until the request goes on, so that it counts as held meanwhile.
+        let asked = |inner: &mut Inner| inner.asked.get_mut(&number)?.answer.take();
+        let waiting = asked(&mut self.lock());
+        match waiting {
             Some(tx) => {
                 tx.send(answer).ok();
             }
@@ -314,7 +326,11 @@
             .leader
             .as_ref()
             .and_then(|leader| self.links.get(leader));
-        link.is_some_and(|outbox| outbox.send(message) == Sent::Queued)
+        let sent = link.map(|outbox| outbox.send(message));
+        if sent == Some(Sent::Full) {
+            info!("dependency=scheduler message=dropped reason=\"the outbox is full\"");
+        }
+        sent == Some(Sent::Queued)
     }
 
     /// Lets the requests that wait ask the next leader.
--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -12,6 +12,7 @@
 use hyper::header;
 use hyper::header::HeaderValue;
 use log::info;
+use mimosa_protocol::EndpointId;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::Tokens;
 use mimosa_protocol::configuration::EndpointRole;
@@ -198,6 +199,16 @@
                 Some(id) => Some(endpoints.get(id).cloned().ok_or_else(gone)?),
                 None => None,
             };
+            info!(
+                "request={} step=place outcome=placed prefill={} decode={} waited_ms={}",
+                request.facts.attempt,
+                run.placement
+                    .prefill
+                    .as_ref()
+                    .map_or("none", EndpointId::as_str),
+                run.placement.decode,
+                shared.now().since(request.arrived).as_millis()
+            );
             Ok(Places {
                 prefill,
                 decode: decode.ok_or_else(gone)?,
--- a/crates/mimosa-gateway/src/serve.rs
+++ b/crates/mimosa-gateway/src/serve.rs
@@ -45,6 +45,11 @@
             return Ok(failure.response(shared.dialect.as_ref()));
         }
     };
+    let mut unanswered = Unanswered {
+        shared: &shared,
+        request: &identified,
+        is_answered: false,
+    };
     let served = if shared.is_too_late_for(now, identified.route.repeat) {
         Err(Failure::NotRun {
             reason: "this instance shuts down",
@@ -53,6 +58,7 @@
     } else {
         serve(&shared, &identified, request).await
     };
+    unanswered.is_answered = true;
     let mut response = served.unwrap_or_else(|failure| {
         info!(
             "request={} step=answer outcome={} reason=\"{}\" route={} took_ms={}",
@@ -93,3 +99,22 @@
         plain::serve(shared, identified, &whole).await
     }
 }
+
+/// Logs a request whose caller left before there was an answer: its future is dropped then.
+struct Unanswered<'a> {
+    shared: &'a Shared,
+    request: &'a Identified,
+    is_answered: bool,
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            info!(
+                "request={} step=answer outcome=left took_ms={}",
+                self.request.facts.attempt,
+                self.shared.now().since(self.request.arrived).as_millis()
+            );
+        }
+    }
+}
--- a/crates/mimosa-route/src/message.rs
+++ b/crates/mimosa-route/src/message.rs
@@ -54,6 +54,12 @@
             /// The request.
             held: Held,
         },
+        /// All requests of the gateway that wait or run; what else the leader knows of is over. Sent
+        /// in answer to each heartbeat of the leader, as messages are lost with their connection.
+        Holding {
+            /// The gateway's numbers for them.
+            numbers: Vec<u64>,
+        },
         /// The prompt of a placed request was processed.
         Prefilled {
             /// The gateway's number for the request.
--- a/crates/mimosa-schedule/src/fleet.rs
+++ b/crates/mimosa-schedule/src/fleet.rs
@@ -282,6 +282,23 @@
         self.runs.len()
     }
 
+    /// The state in one line, for the log.
+    pub fn summary(&self, now: Timestamp) -> String {
+        let endpoints: Vec<String> = self
+            .endpoints
+            .iter()
+            .map(|(id, each)| format!("{id}:{}", each.summary(now)))
+            .collect();
+        format!(
+            "waiting={} running={} prefill_tokens_per_s={} token_us={} endpoints=[{}]",
+            self.waiting.len(),
+            self.runs.len(),
+            self.pace.prefill_rate(),
+            self.pace.token_time().as_micros(),
+            endpoints.join(" ")
+        )
+    }
+
     /// Decides on one event.
     pub fn handle(&mut self, now: Timestamp, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/crates/mimosa-schedule/src/fleet/endpoint.rs
+++ b/crates/mimosa-schedule/src/fleet/endpoint.rs
@@ -44,6 +44,20 @@
         self.role == Some(EndpointRole::Prefill)
     }
 
+    /// Role, prefills and decodes in hand, and for how long it gets nothing, in milliseconds.
+    pub(super) fn summary(&self, now: Timestamp) -> String {
+        let blocked = self.away_until.max(self.full_until).since(now);
+        let busy = self.free_at(now).since(now);
+        format!(
+            "{}/{}/{}/{}/{}",
+            self.role.map_or("?".to_owned(), |role| format!("{role:?}")),
+            self.prefills.len(),
+            self.loads.len(),
+            busy.as_millis(),
+            blocked.as_millis()
+        )
+    }
+
     pub(super) fn is_in(&self, data_centre: &DataCentreId) -> bool {
         self.data_centre.as_ref() == Some(data_centre)
     }
--- a/crates/mimosa-schedule/src/fleet/pace.rs
+++ b/crates/mimosa-schedule/src/fleet/pace.rs
@@ -36,6 +36,10 @@
         }
     }
 
+    pub(super) const fn prefill_rate(&self) -> u64 {
+        self.prefill_rate
+    }
+
     pub(super) fn prefill_time(&self, prompt: Tokens) -> Duration {
         let micros = prompt.0.saturating_mul(1_000_000) / self.prefill_rate.max(1);
         Duration::from_micros(micros)
