Forecast outputs that run over their estimate, leave a tenth of the memory free

Cause: requests are preempted when estimates, which are often off by half, are low together; a preempted one is late and its tokens are read again. Refusals name the time at which those who wait have room.

--- a/crates/mimosa-schedule/src/fleet.rs
+++ b/crates/mimosa-schedule/src/fleet.rs
@@ -222,7 +222,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            fill_permille: 950,
+            fill_permille: 900,
             prefill_lookahead: Duration::from_millis(10),
             first_output_time: Duration::from_millis(60),
             late_permille: 600,
@@ -387,6 +387,7 @@
             let load = Load {
                 prompt: held.ask.prompt,
                 output: expected,
+                max_output: held.ask.max_output,
                 from: now.before(held.decoding_for),
             };
             endpoint.loads.insert(ticket.clone(), load);
@@ -506,11 +507,17 @@
         });
     }
 
-    /// When the first of the running requests is expected to end.
+    /// When so many of the running requests are expected to have ended that those who wait have room
+    /// and one more.
     fn time_to_room(&self, now: Timestamp) -> Duration {
-        let ends = self.endpoints.values().flat_map(|each| each.loads.values());
-        let soonest = ends.map(|load| load.end(self.pace.token_time())).min();
-        soonest.map_or(self.settings.no_room_pause, |end| end.since(now))
+        let loads = self.endpoints.values().flat_map(|each| each.loads.values());
+        let mut ends: Vec<_> = loads
+            .map(|load| load.end(now, self.pace.token_time()))
+            .collect();
+        ends.sort_unstable();
+        let wanted = self.waiting.len().min(ends.len().saturating_sub(1));
+        let time = ends.get(wanted).map(|end| end.since(now));
+        time.unwrap_or_default().max(self.settings.no_room_pause)
     }
 
     fn find(&self, now: Timestamp, waiting: &Waiting) -> Option<Placement> {
@@ -519,6 +526,7 @@
             let load = Load {
                 prompt: ask.prompt,
                 output: self.pace.expected_output(ask),
+                max_output: ask.max_output,
                 from: now + self.settings.first_output_time,
             };
             let home = self
@@ -550,6 +558,7 @@
         let load = Load {
             prompt: ask.prompt,
             output: self.pace.expected_output(ask),
+            max_output: ask.max_output,
             from,
         };
         let home = prefill
@@ -577,11 +586,12 @@
             .filter(|(_, each)| each.decodes() && each.takes_work(now) && now >= each.full_until)
             .filter(|(_, each)| each.loads.len() < self.view.slots as usize)
             .filter_map(|(id, each)| {
-                let peak = forecast::peak(now, each.loads.values(), load, token_time);
+                let loads = each.loads.values();
+                let peak = forecast::peak_within(now, loads, load, token_time, memory)?;
                 let is_near = home.is_some_and(|home| each.is_in(home));
                 // Moves between data centres take twice as long and cost more.
                 let cost = if is_near { peak } else { peak + load.prompt.0 };
-                (peak <= memory).then_some((cost, id))
+                Some((cost, id))
             })
             .min()
             .map(|(_, id)| id.clone())
@@ -602,6 +612,7 @@
             let load = Load {
                 prompt: ask.prompt,
                 output: expected,
+                max_output: ask.max_output,
                 from: ready + self.settings.first_output_time,
             };
             endpoint.loads.insert(ticket.clone(), load);
--- /dev/null
+++ b/crates/mimosa-schedule/tests/fleet.rs
@@ -0,0 +1,204 @@
+//! A fleet under load: what callers get.
+
+#[path = "fleet/world.rs"]
+mod world;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use mimosa_protocol::Timestamp;
+use mimosa_protocol::Tokens;
+use mimosa_schedule::fleet::Action;
+use mimosa_schedule::fleet::Event;
+use mimosa_schedule::fleet::Fleet;
+use mimosa_schedule::fleet::RunEnd;
+use mimosa_schedule::fleet::Settings;
+use mimosa_schedule::fleet::Unplaced;
+
+use crate::world::Outcome;
+use crate::world::World;
+use crate::world::ask;
+use crate::world::view;
+
+const START: Timestamp = Timestamp::from_secs(100);
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::new(Settings::default(), Timestamp::ZERO);
+    fleet.handle(START, Event::Configure(view()));
+    fleet
+}
+
+fn placed(actions: &[Action]) -> usize {
+    let is_placed = |action: &&Action| matches!(action, Action::Place { .. });
+    actions.iter().filter(is_placed).count()
+}
+
+/// A third of what the prefill endpoints read and half of the decode memory: everything is served in
+/// time and nothing is preempted.
+#[gtest]
+fn a_calm_load_is_served_in_time() {
+    for seed in 0..2 {
+        let outcome = World::new(seed).play(10.0, Duration::from_secs(25));
+        expect_that!(outcome.refused, eq(0), "{outcome:?}");
+        expect_that!(outcome.late * 100, le(outcome.asked), "{outcome:?}");
+        expect_that!(outcome.preempted * 100, le(outcome.asked), "{outcome:?}");
+    }
+}
+
+/// Twice what the decode memory bears: what is served is served whole, and most of what the memory
+/// bears is used.
+#[gtest]
+fn an_overload_is_refused_instead_of_preempted() {
+    for seed in 0..2 {
+        let calm = World::new(seed).play(16.0, Duration::from_secs(25));
+        let over = World::new(seed).play(40.0, Duration::from_secs(25));
+        expect_that!(over.preempted * 50, le(over.asked), "{over:?}");
+        expect_that!(over.in_time, ge(calm.in_time * 9 / 10), "{calm:?} {over:?}");
+        expect_that!(over.refused, gt(0), "{over:?}");
+    }
+}
+
+/// A refusal comes while its caller still waits, and names a time at which there is room.
+#[gtest]
+fn nobody_is_held_until_their_patience_ends() {
+    let Outcome {
+        longest_refusal, ..
+    } = World::new(1).play(60.0, Duration::from_secs(30));
+    let patience = ask(0, 1, 1).patience_left;
+    expect_that!(longest_refusal, le(patience * 2 / 3));
+}
+
+#[gtest]
+fn a_request_without_endpoints_is_refused_at_once() {
+    let mut fleet = Fleet::new(Settings::default(), Timestamp::ZERO);
+    let waits = fleet.handle(START, Event::Ask(ask(1, 5_000, 5_000)));
+    expect_that!(waits, is_empty(), "the endpoints are not known yet");
+    fleet.handle(
+        START,
+        Event::Configure(mimosa_schedule::fleet::View::default()),
+    );
+    let refused = fleet.handle(START, Event::Ask(ask(2, 5_000, 5_000)));
+    expect_that!(
+        refused,
+        contains(matches_pattern!(Action::Refuse {
+            why: eq(&Unplaced::NoEndpoint),
+            ..
+        }))
+    );
+}
+
+#[gtest]
+fn nothing_is_placed_before_the_gateways_have_told_what_they_hold() {
+    let silent_until = START + Duration::from_millis(200);
+    let mut fleet = Fleet::new(Settings::default(), silent_until);
+    fleet.handle(START, Event::Configure(view()));
+    let early = fleet.handle(START, Event::Ask(ask(1, 5_000, 5_000)));
+    expect_that!(placed(&early), eq(0));
+    let later = fleet.handle(silent_until, Event::Tick);
+    expect_that!(placed(&later), eq(1));
+}
+
+/// An endpoint that cannot be reached gets nothing for a while; the request goes elsewhere.
+#[gtest]
+fn an_endpoint_that_failed_is_left_alone() {
+    let mut fleet = fleet();
+    let first = fleet.handle(START, Event::Ask(ask(1, 5_000, 5_000)));
+    let [Action::Place { placement, ticket }] = first.as_slice() else {
+        panic!("{first:?}");
+    };
+    let failed = placement.decode.clone();
+    let end = RunEnd::Unreachable(failed.clone());
+    let ticket = ticket.clone();
+    fleet.handle(START, Event::Ended { ticket, end });
+    for number in 2..6 {
+        let at = START + Duration::from_millis(number);
+        for action in fleet.handle(at, Event::Ask(ask(number, 1_000, 1_000))) {
+            if let Action::Place { placement, .. } = action {
+                expect_that!(placement.decode, not(eq(&failed)));
+            }
+        }
+    }
+}
+
+/// A decode that found no room is placed again beside the KV cache, without another prefill.
+#[gtest]
+fn a_kv_cache_is_used_again() {
+    let mut fleet = fleet();
+    let mut again = ask(1, 5_000, 5_000);
+    again.prefilled = Some("p-1".parse().unwrap());
+    again.patience_left = Duration::from_millis(400);
+    let actions = fleet.handle(START, Event::Ask(again));
+    let [Action::Place { placement, .. }] = actions.as_slice() else {
+        panic!("{actions:?}");
+    };
+    expect_that!(placement.prefill, none());
+}
+
+/// One prefill at a time: the next one is sent shortly before the endpoint is free.
+#[gtest]
+fn prefills_wait_here_and_not_in_the_engines() {
+    let mut fleet = fleet();
+    let prefills = view()
+        .endpoints
+        .iter()
+        .filter(|each| each.id.as_str().starts_with('p'))
+        .count();
+    let mut at_once = 0;
+    for number in 0..20 {
+        let actions = fleet.handle(START, Event::Ask(ask(number, 5_000, 1_000)));
+        at_once += placed(&actions);
+    }
+    expect_that!(at_once, eq(prefills));
+    expect_that!(fleet.waiting(), eq(20 - prefills));
+    expect_that!(fleet.next_wake(START), some(gt(START)));
+}
+
+#[gtest]
+fn a_lost_gateway_frees_what_it_held() {
+    let mut fleet = fleet();
+    fleet.handle(START, Event::Ask(ask(1, 5_000, 5_000)));
+    expect_that!(fleet.running(), eq(1));
+    let gateway = ask(1, 1, 1).ticket.gateway;
+    fleet.handle(START, Event::GatewayLost { gateway });
+    expect_that!(fleet.running(), eq(0));
+}
+
+/// The forecast learns how long outputs get against their estimates.
+#[gtest]
+fn estimates_that_are_too_low_are_corrected() {
+    let mut fleet = fleet();
+    let mut now = START;
+    for number in 0..60 {
+        let mut short = ask(number, 5_000, 8_000);
+        short.expected_output = Some(Tokens(1_000));
+        let ticket = short.ticket.clone();
+        fleet.handle(now, Event::Ask(short));
+        let took = Duration::from_millis(90);
+        let prefilled = Event::Prefilled {
+            ticket: ticket.clone(),
+            took,
+        };
+        fleet.handle(now + took, prefilled);
+        fleet.handle(
+            now + took,
+            Event::Started {
+                ticket: ticket.clone(),
+            },
+        );
+        now = now + took + Duration::from_millis(2_800);
+        let end = RunEnd::Complete(Tokens(4_000));
+        fleet.handle(now, Event::Ended { ticket, end });
+    }
+    // Each needs 9,000 tokens: twelve of them fill an endpoint of 105,738, and there are five.
+    let mut running = 0;
+    for number in 100..400 {
+        let mut short = ask(number, 5_000, 8_000);
+        short.expected_output = Some(Tokens(1_000));
+        running += placed(&fleet.handle(now, Event::Ask(short)));
+        let took = Duration::from_millis(90);
+        let ticket = ask(number, 1, 1).ticket;
+        running += placed(&fleet.handle(now, Event::Prefilled { ticket, took }));
+    }
+    expect_that!(running, le(5 * 13));
+    expect_that!(running, ge(5 * 8));
+}
--- /dev/null
+++ b/crates/mimosa-schedule/tests/fleet/world.rs
@@ -0,0 +1,237 @@
+//! Engines with limited memory in front of which a fleet decides. The clock is the world's own.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use mimosa_protocol::EndpointId;
+use mimosa_protocol::Timestamp;
+use mimosa_protocol::Tokens;
+use mimosa_protocol::configuration::EndpointRole;
+use mimosa_schedule::fleet::Action;
+use mimosa_schedule::fleet::Ask;
+use mimosa_schedule::fleet::Event;
+use mimosa_schedule::fleet::Fleet;
+use mimosa_schedule::fleet::Placement;
+use mimosa_schedule::fleet::RunEnd;
+use mimosa_schedule::fleet::Settings;
+use mimosa_schedule::fleet::Ticket;
+use mimosa_schedule::fleet::View;
+use mimosa_schedule::fleet::ViewEndpoint;
+
+pub const MEMORY: u64 = 105_738;
+const PREFILLS: usize = 4;
+const DECODES: usize = 5;
+const PREFILL_RATE: u64 = 55_000;
+const TOKEN_TIME: Duration = Duration::from_micros(690);
+/// One look at the engines.
+const STEP: Duration = Duration::from_millis(5);
+const START: Timestamp = Timestamp::from_secs(100);
+
+pub fn view() -> View {
+    let endpoint = |name: String, role| ViewEndpoint {
+        id: name.parse().unwrap(),
+        data_centre: "north".parse().unwrap(),
+        role,
+        cold_until: Timestamp::ZERO,
+    };
+    let prefills = (1..=PREFILLS).map(|n| endpoint(format!("p-{n}"), EndpointRole::Prefill));
+    let decodes = (1..=DECODES).map(|n| endpoint(format!("d-{n}"), EndpointRole::Decode));
+    View {
+        memory: Tokens(MEMORY),
+        slots: 64,
+        endpoints: prefills.chain(decodes).collect(),
+    }
+}
+
+pub fn ask(number: u64, prompt: u64, output: u64) -> Ask {
+    Ask {
+        ticket: Ticket {
+            gateway: "gateway-1".parse().unwrap(),
+            number,
+        },
+        account: None,
+        prompt: Tokens(prompt),
+        max_output: Tokens(8_970),
+        expected_output: Some(Tokens(output)),
+        priority: 1,
+        target_left: Duration::from_millis(900),
+        patience_left: Duration::from_millis(3_600),
+        data_centre: "north".parse().unwrap(),
+        prefilled: None,
+    }
+}
+
+/// What callers got.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    pub asked: u64,
+    pub in_time: u64,
+    pub late: u64,
+    pub refused: u64,
+    pub preempted: u64,
+    pub longest_refusal: Duration,
+}
+
+struct Job {
+    asked: Timestamp,
+    prompt: u64,
+    output: u64,
+    placement: Option<Placement>,
+    prefill_done: Option<Timestamp>,
+    decoding_since: Option<Timestamp>,
+}
+
+pub struct World {
+    random: u64,
+    fleet: Fleet,
+    jobs: BTreeMap<u64, Job>,
+    prefill_free: BTreeMap<EndpointId, Timestamp>,
+    outcome: Outcome,
+}
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        let mut fleet = Fleet::new(Settings::default(), Timestamp::ZERO);
+        fleet.handle(START, Event::Configure(view()));
+        Self {
+            random: seed * 2_654_435_761 + 1,
+            fleet,
+            jobs: BTreeMap::new(),
+            prefill_free: BTreeMap::new(),
+            outcome: Outcome::default(),
+        }
+    }
+
+    /// Requests come at a rate a second for a while; then the rest is finished.
+    pub fn play(mut self, rate: f64, time: Duration) -> Outcome {
+        let mut now = START;
+        let mut next = START;
+        let mut number = 0;
+        while now < START + time || !self.jobs.is_empty() {
+            while next <= now && next < START + time {
+                number += 1;
+                self.submit(now, number);
+                let pause = -(1.0 - self.unit()).ln() / rate;
+                next = next + Duration::from_secs_f64(pause);
+            }
+            self.run_engines(now);
+            let actions = self.fleet.handle(now, Event::Tick);
+            self.follow(now, actions);
+            now = now + STEP;
+        }
+        self.outcome
+    }
+
+    fn submit(&mut self, now: Timestamp, number: u64) {
+        let prompt = 2_000 + (self.unit() * 6_400.0) as u64;
+        let output = 2_000 + (self.unit() * 5_600.0) as u64;
+        // The estimate is right at the median and off by up to half.
+        let estimate = (output as f64 * (0.5 + self.unit())) as u64;
+        let job = Job {
+            asked: now,
+            prompt,
+            output,
+            placement: None,
+            prefill_done: None,
+            decoding_since: None,
+        };
+        self.jobs.insert(number, job);
+        self.outcome.asked += 1;
+        let actions = self
+            .fleet
+            .handle(now, Event::Ask(ask(number, prompt, estimate)));
+        self.follow(now, actions);
+    }
+
+    fn follow(&mut self, now: Timestamp, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Place { ticket, placement } => {
+                    let job = self.jobs.get_mut(&ticket.number).unwrap();
+                    let prefill = placement.prefill.clone().unwrap();
+                    let free = self.prefill_free.entry(prefill).or_insert(now);
+                    let micros = job.prompt * 1_000_000 / PREFILL_RATE;
+                    *free = (*free).max(now) + Duration::from_micros(micros);
+                    job.prefill_done = Some(*free);
+                    job.placement = Some(placement);
+                }
+                Action::Refuse { ticket, .. } => {
+                    let job = self.jobs.remove(&ticket.number).unwrap();
+                    let held = now.since(job.asked);
+                    self.outcome.refused += 1;
+                    self.outcome.longest_refusal = self.outcome.longest_refusal.max(held);
+                }
+            }
+        }
+    }
+
+    fn run_engines(&mut self, now: Timestamp) {
+        let numbers: Vec<u64> = self.jobs.keys().copied().collect();
+        for number in numbers {
+            let ticket = ask(number, 1, 1).ticket;
+            // What was followed meanwhile may have refused it.
+            let Some(job) = self.jobs.get_mut(&number) else {
+                continue;
+            };
+            match (job.prefill_done, job.decoding_since) {
+                (Some(done), None) if now >= done => {
+                    job.decoding_since = Some(now);
+                    let micros = job.prompt * 1_000_000 / PREFILL_RATE;
+                    if now.since(job.asked) <= Duration::from_millis(900) {
+                        self.outcome.in_time += 1;
+                    } else {
+                        self.outcome.late += 1;
+                    }
+                    let took = Duration::from_micros(micros);
+                    let prefilled = Event::Prefilled {
+                        ticket: ticket.clone(),
+                        took,
+                    };
+                    let mut actions = self.fleet.handle(now, prefilled);
+                    actions.extend(self.fleet.handle(now, Event::Started { ticket }));
+                    self.follow(now, actions);
+                }
+                (_, Some(since)) if now >= since + TOKEN_TIME * job.output as u32 => {
+                    let end = RunEnd::Complete(Tokens(job.output));
+                    self.jobs.remove(&number);
+                    let actions = self.fleet.handle(now, Event::Ended { ticket, end });
+                    self.follow(now, actions);
+                }
+                _ => {}
+            }
+        }
+        self.preempt(now);
+    }
+
+    /// The newest request of an endpoint whose memory ran out is preempted: it counts as late, and
+    /// here it ends.
+    fn preempt(&mut self, now: Timestamp) {
+        let mut used: BTreeMap<EndpointId, (u64, u64)> = BTreeMap::new();
+        for (number, job) in &self.jobs {
+            if let (Some(placement), Some(since)) = (&job.placement, job.decoding_since) {
+                let made = now.since(since).as_micros() / TOKEN_TIME.as_micros();
+                let slot = used.entry(placement.decode.clone()).or_default();
+                slot.0 += job.prompt + made as u64;
+                slot.1 = *number;
+            }
+        }
+        for (memory, newest) in used.into_values() {
+            if memory > MEMORY {
+                self.jobs.remove(&newest);
+                self.outcome.preempted += 1;
+                self.outcome.in_time = self.outcome.in_time.saturating_sub(1);
+                let ticket = ask(newest, 1, 1).ticket;
+                let end = RunEnd::Broken;
+                let actions = self.fleet.handle(now, Event::Ended { ticket, end });
+                self.follow(now, actions);
+            }
+        }
+    }
+
+    fn unit(&mut self) -> f64 {
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        (self.random >> 11) as f64 / (1_u64 << 53) as f64
+    }
+}
