--- a/crates/mimosa-config/src/control.rs
+++ b/crates/mimosa-config/src/control.rs
@@ -47,6 +47,8 @@
 /// Control of gateways, by instances that are named by their IP addresses.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ControlRouting {
+    /// Where metrics are served, if anywhere.
+    pub metrics: Option<SocketAddr>,
     /// Control instances that may know the others.
     pub seeds: Vec<IpAddr>,
     /// Whether the system starts for the first time: the seeds then found it together.
@@ -74,6 +76,7 @@
                 .into_iter()
                 .map(|seed| seed.0)
                 .collect(),
+            metrics: reader.optional("metrics", faults),
             found: reader.or("found", default.found, faults),
             endpoint_list: reader.or("endpoint_list", default.endpoint_list, faults),
             list_interval: reader.duration("list_interval", default.list_interval, faults),
@@ -94,6 +97,7 @@
 impl Default for ControlRouting {
     fn default() -> Self {
         Self {
+            metrics: None,
             seeds: Vec::new(),
             found: false,
             endpoint_list: SocketAddr::from((Ipv4Addr::LOCALHOST, 8361)),
--- a/crates/mimosa-config/src/gateway.rs
+++ b/crates/mimosa-config/src/gateway.rs
@@ -16,6 +16,8 @@
     pub listen: SocketAddr,
     /// Where the platform asks whether it is ready.
     pub readiness: SocketAddr,
+    /// Where metrics are served, if anywhere.
+    pub metrics: Option<SocketAddr>,
     /// Control instances that may know the others.
     pub seeds: Vec<IpAddr>,
     /// The port at which control instances listen to gateways.
@@ -36,6 +38,7 @@
         Self {
             listen: localhost(8360),
             readiness: localhost(8365),
+            metrics: None,
             seeds: Vec::new(),
             control_port: 7501,
             drain_time: Duration::from_secs(7),
@@ -53,6 +56,7 @@
         let settings = Self {
             listen: reader.or("listen", default.listen, faults),
             readiness: reader.or("readiness", default.readiness, faults),
+            metrics: reader.optional("metrics", faults),
             seeds: seeds.into_iter().map(|seed| seed.0).collect(),
             control_port: reader.or("control_port", default.control_port, faults),
             drain_time: reader.duration("drain_time", default.drain_time, faults),
--- a/crates/mimosa-control/src/routing.rs
+++ b/crates/mimosa-control/src/routing.rs
@@ -23,6 +23,7 @@
 pub mod dispatch;
 pub mod gateway_port;
 pub mod listing;
+pub mod metrics;
 
 /// What an outside system brings: how it writes documents, lists endpoints and gives orders.
 #[derive(Clone)]
--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -46,6 +46,7 @@
 use tokio::time::timeout;
 
 use crate::replicator::Replicator;
+use crate::routing::metrics::Metrics;
 use crate::shared::Shared;
 
 /// Time in which gateways tell a new leader what they hold, before it places anything.
@@ -65,6 +66,7 @@
     format: Arc<dyn DocumentFormat>,
     endpoints: watch::Receiver<Arc<EndpointList>>,
     tolerance: Tolerance,
+    metrics: Metrics,
     started: std::time::Instant,
     changed: Notify,
     inner: Mutex<Inner>,
@@ -72,6 +74,7 @@
 
 #[derive(Default)]
 struct Inner {
+    metrics: Metrics,
     leads: bool,
     lead_since: Timestamp,
     /// When the state of the schedulers was last logged.
@@ -113,6 +116,7 @@
         format: Arc<dyn DocumentFormat>,
         endpoints: watch::Receiver<Arc<EndpointList>>,
         tolerance: Tolerance,
+        metrics: Metrics,
     ) -> Self {
         Self {
             replicator,
@@ -122,7 +126,11 @@
             tolerance,
             started: std::time::Instant::now(),
             changed: Notify::new(),
-            inner: Mutex::default(),
+            inner: Mutex::new(Inner {
+                metrics: metrics.clone(),
+                ..Inner::default()
+            }),
+            metrics,
         }
     }
 
@@ -250,7 +258,9 @@
         let now = self.now();
         let status = self.replicator.status();
         let leads = status.role == "leader";
+        self.metrics.replica(status.term, status.committed, leads);
         let mut inner = self.lock();
+        self.metrics.gateways(inner.gateways.len());
         if leads != inner.leads {
             info!("scheduler={}", if leads { "started" } else { "stopped" });
             inner.leads = leads;
@@ -273,6 +283,10 @@
         }
         if now.since(inner.summarised) >= SUMMARY_PERIOD {
             inner.summarised = now;
+            let waiting = inner.fleets.values().map(Fleet::waiting).sum();
+            let running = inner.fleets.values().map(Fleet::running).sum();
+            self.metrics.requests("waiting", waiting);
+            self.metrics.requests("running", running);
             for (service, fleet) in &inner.fleets {
                 if fleet.waiting() + fleet.running() > 0 {
                     info!("service={service} {}", fleet.summary(now));
@@ -387,6 +401,7 @@
             Err(OverQuota::Until(wait)) => (Unplaced::OverQuota, wait),
             Err(OverQuota::Never) => (Unplaced::OverBurst, Duration::ZERO),
         };
+        self.metrics.decided(why.word());
         let message = ControlMessage::Unplaced {
             number: ask.ticket.number,
             why,
@@ -435,6 +450,7 @@
         for action in actions {
             match action {
                 Action::Place { ticket, placement } => {
+                    self.metrics.decided("placed");
                     let number = ticket.number;
                     let message = ControlMessage::Placed { number, placement };
                     self.send(&ticket.gateway, message);
@@ -444,6 +460,7 @@
                     why,
                     retry_after,
                 } => {
+                    self.metrics.decided(why.word());
                     self.services.remove(&ticket);
                     if let Some(charge) = self.charges.remove(&ticket) {
                         self.give_back(now, &charge);
--- /dev/null
+++ b/crates/mimosa-control/src/routing/metrics.rs
@@ -0,0 +1,104 @@
+//! What a control instance of gateways counts.
+
+use std::sync::Arc;
+
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
+use prometheus::Opts;
+use prometheus::Registry;
+
+/// The counters and gauges of a control instance.
+#[derive(Clone)]
+pub struct Metrics(Arc<Inner>);
+
+struct Inner {
+    registry: Registry,
+    decisions: IntCounterVec,
+    requests: IntGaugeVec,
+    term: IntGauge,
+    committed: IntGauge,
+    leads: IntGauge,
+    gateways: IntGauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let decisions = IntCounterVec::new(
+            Opts::new(
+                "mimosa_control_decisions_total",
+                "Decisions of the schedulers, by outcome",
+            ),
+            &["outcome"],
+        );
+        let requests = IntGaugeVec::new(
+            Opts::new(
+                "mimosa_control_requests",
+                "Requests of models known to the schedulers, by state",
+            ),
+            &["state"],
+        );
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("the name is valid");
+            let added = registry.register(Box::new(gauge.clone()));
+            added.expect("each name is used once");
+            gauge
+        };
+        let term = gauge("mimosa_control_term", "Term of the replicated log");
+        let committed = gauge(
+            "mimosa_control_committed",
+            "Newest committed entry of the replicated log",
+        );
+        let leads = gauge("mimosa_control_leads", "1 while this instance leads");
+        let gateways = gauge("mimosa_control_gateways", "Gateways that are connected");
+        let decisions = decisions.expect("the name is valid");
+        let requests = requests.expect("the name is valid");
+        for collector in [
+            Box::new(decisions.clone()) as Box<dyn prometheus::core::Collector>,
+            Box::new(requests.clone()),
+        ] {
+            registry
+                .register(collector)
+                .expect("each name is used once");
+        }
+        Self(Arc::new(Inner {
+            registry,
+            decisions,
+            requests,
+            term,
+            committed,
+            leads,
+            gateways,
+        }))
+    }
+}
+
+impl Metrics {
+    /// What is served.
+    pub fn registry(&self) -> Registry {
+        self.0.registry.clone()
+    }
+
+    pub(crate) fn decided(&self, outcome: &str) {
+        self.0.decisions.with_label_values(&[outcome]).inc();
+    }
+
+    pub(crate) fn requests(&self, state: &str, count: usize) {
+        let gauge = self.0.requests.with_label_values(&[state]);
+        gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
+    pub(crate) fn replica(&self, term: u64, committed: u64, leads: bool) {
+        self.0.term.set(i64::try_from(term).unwrap_or(i64::MAX));
+        let committed = i64::try_from(committed).unwrap_or(i64::MAX);
+        self.0.committed.set(committed);
+        self.0.leads.set(i64::from(leads));
+    }
+
+    pub(crate) fn gateways(&self, count: usize) {
+        self.0
+            .gateways
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+}
--- a/crates/mimosa-control/src/server.rs
+++ b/crates/mimosa-control/src/server.rs
@@ -8,6 +8,7 @@
 use axum::Router;
 use log::info;
 use log::warn;
+use mimosa_metrics::MetricsServer;
 use mimosa_protocol::Error;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::Result;
@@ -42,6 +43,7 @@
 use crate::routing::dispatch::Dispatcher;
 use crate::routing::gateway_port::GatewayPort;
 use crate::routing::listing;
+use crate::routing::metrics::Metrics;
 use crate::settings::Settings;
 use crate::shared::Shared;
 
@@ -163,7 +165,14 @@
         let replicator = assembly.join_cluster(opened, self.peer)?;
         let (stop, stopped) = watch::channel(false);
         let router = match outside {
-            Some(outside) => assembly.serve_gateways(&replicator, self.entry, outside),
+            Some(outside) => {
+                let metrics = Metrics::default();
+                if let Some(address) = assembly.settings.metrics {
+                    let server = MetricsServer::bind(address, metrics.registry()).await?;
+                    assembly.tasks.spawn(server.run());
+                }
+                assembly.serve_gateways(&replicator, self.entry, outside, metrics)
+            }
             None => {
                 assembly.serve_entries(&replicator, self.entry);
                 assembly.admin(&replicator).router()
@@ -274,6 +283,7 @@
         replicator: &Arc<dyn Replicator>,
         listener: TcpListener,
         outside: Outside,
+        metrics: Metrics,
     ) -> Router {
         let (published, endpoints) = watch::channel(Arc::default());
         let reading = listing::run(
@@ -289,6 +299,7 @@
             Arc::clone(&outside.format),
             endpoints.clone(),
             self.settings.quota_tolerance,
+            metrics,
         ));
         self.tasks.spawn(Arc::clone(&dispatcher).run());
         let port = GatewayPort {
--- a/crates/mimosa-control/src/settings.rs
+++ b/crates/mimosa-control/src/settings.rs
@@ -46,6 +46,8 @@
     pub founders: BTreeSet<InstanceId>,
     /// How instances that are not listed are found; `None` if all are listed.
     pub discovery: Option<Discovery>,
+    /// Where metrics of an instance for gateways are served, if anywhere.
+    pub metrics: Option<SocketAddr>,
     /// How many voters there are, and how those that are gone are replaced.
     pub seats: Option<Seats>,
     /// How far accounts of gateways may go beyond their quotas.
@@ -133,6 +135,7 @@
             found: false,
             founders: BTreeSet::new(),
             discovery: None,
+            metrics: None,
             seats: None,
             quota_tolerance: Tolerance::default(),
             election_timeout: Duration::from_millis(1_000),
--- a/crates/mimosa-gateway/src/dispatch.rs
+++ b/crates/mimosa-gateway/src/dispatch.rs
@@ -208,7 +208,6 @@
         now >= inner.silent_until && inner.send(message)
     }
 
-    #[expect(clippy::type_complexity, reason = "the parts of one ask")]
     fn send_ask(
         &self,
         now: Timestamp,
--- a/crates/mimosa-gateway/src/lib.rs
+++ b/crates/mimosa-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod directory;
 mod dispatch;
 mod head;
+mod metrics;
 mod model;
 mod plain;
 mod purse;
--- /dev/null
+++ b/crates/mimosa-gateway/src/metrics.rs
@@ -0,0 +1,106 @@
+//! What a gateway counts.
+
+use std::time::Duration;
+
+use mimosa_metrics::LATENCY_BUCKETS;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounterVec;
+use prometheus::Opts;
+use prometheus::Registry;
+
+/// The counters and histograms of a gateway. Labels are bounded: services come from the
+/// configuration, the other values from the code.
+pub(crate) struct Metrics {
+    pub(crate) registry: Registry,
+    requests: IntCounterVec,
+    refusals: IntCounterVec,
+    calls: IntCounterVec,
+    placements: IntCounterVec,
+    quota: IntCounterVec,
+    answer_time: HistogramVec,
+    queue_time: HistogramVec,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels);
+            let counter = counter.expect("the name is valid");
+            let added = registry.register(Box::new(counter.clone()));
+            added.expect("each name is used once");
+            counter
+        };
+        let histogram = |name: &str, help: &str| {
+            let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+            let histogram = HistogramVec::new(opts, &["service"]).expect("the name is valid");
+            let added = registry.register(Box::new(histogram.clone()));
+            added.expect("each name is used once");
+            histogram
+        };
+        Self {
+            requests: counter(
+                "mimosa_gateway_requests_total",
+                "Requests answered, by service and status",
+                &["service", "status"],
+            ),
+            refusals: counter(
+                "mimosa_gateway_refusals_total",
+                "Requests that the gateway answered itself, by reason",
+                &["reason"],
+            ),
+            calls: counter(
+                "mimosa_gateway_calls_total",
+                "Calls to endpoints, by service and outcome",
+                &["service", "outcome"],
+            ),
+            placements: counter(
+                "mimosa_gateway_placements_total",
+                "Requests of models, by who placed them",
+                &["by"],
+            ),
+            quota: counter(
+                "mimosa_gateway_quota_total",
+                "Requests counted against a quota, by how",
+                &["how"],
+            ),
+            answer_time: histogram(
+                "mimosa_gateway_answer_seconds",
+                "Time from a request's head to the head of its answer",
+            ),
+            queue_time: histogram(
+                "mimosa_gateway_queue_seconds",
+                "Time from a request's head to its placement",
+            ),
+            registry,
+        }
+    }
+
+    pub(crate) fn answered(&self, service: &str, status: u16, time: Duration) {
+        let status = status.to_string();
+        self.requests
+            .with_label_values(&[service, status.as_str()])
+            .inc();
+        let histogram = self.answer_time.with_label_values(&[service]);
+        histogram.observe(time.as_secs_f64());
+    }
+
+    pub(crate) fn refused(&self, reason: &str) {
+        self.refusals.with_label_values(&[reason]).inc();
+    }
+
+    pub(crate) fn called(&self, service: &str, outcome: &str) {
+        self.calls.with_label_values(&[service, outcome]).inc();
+    }
+
+    pub(crate) fn placed(&self, service: &str, by: &str, waited: Duration) {
+        self.placements.with_label_values(&[by]).inc();
+        let histogram = self.queue_time.with_label_values(&[service]);
+        histogram.observe(waited.as_secs_f64());
+    }
+
+    pub(crate) fn counted(&self, how: &str) {
+        self.quota.with_label_values(&[how]).inc();
+    }
+}
--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -209,6 +209,10 @@
                 run.placement.decode,
                 shared.now().since(request.arrived).as_millis()
             );
+            let waited = shared.now().since(request.arrived);
+            shared
+                .metrics
+                .placed(request.service.as_str(), "leader", waited);
             Ok(Places {
                 prefill,
                 decode: decode.ok_or_else(gone)?,
@@ -238,6 +242,10 @@
         quota::alone(shared, request)?;
     }
     let now = shared.now();
+    let waited = now.since(request.arrived);
+    shared
+        .metrics
+        .placed(request.service.as_str(), "gateway", waited);
     let tried_at = &tried.endpoints;
     let choose = |role| upstream::choose(shared, now, endpoints, request, role, tried_at);
     let prefill = match &tried.cache {
--- a/crates/mimosa-gateway/src/quota.rs
+++ b/crates/mimosa-gateway/src/quota.rs
@@ -32,7 +32,10 @@
             shared.purse.unanswered(account);
         }
         match drawn {
-            Drawn::Paid => return Ok(()),
+            Drawn::Paid => {
+                shared.metrics.counted("lent");
+                return Ok(());
+            }
             Drawn::Refused => return Err(Failure::OverQuota(RETRY)),
             Drawn::Empty if !asked => return alone(shared, request),
             Drawn::Empty => {
@@ -54,6 +57,7 @@
     let Some((account, cost)) = cost(request) else {
         return Ok(());
     };
+    shared.metrics.counted("alone");
     info!(
         "request={} step=quota outcome=alone account={account}",
         request.facts.attempt
--- a/crates/mimosa-gateway/src/serve.rs
+++ b/crates/mimosa-gateway/src/serve.rs
@@ -36,6 +36,7 @@
         Ok(identified) => identified,
         Err(failure) => {
             let facts = shared.dialect.read(request.headers());
+            shared.metrics.refused(failure.reason());
             info!(
                 "request={} step=identify outcome={} reason=\"{}\"",
                 facts.attempt,
@@ -68,8 +69,14 @@
             identified.route.name,
             shared.now().since(identified.arrived).as_millis()
         );
+        shared.metrics.refused(failure.reason());
         failure.response(shared.dialect.as_ref())
     });
+    let time = shared.now().since(identified.arrived);
+    let status = response.status().as_u16();
+    shared
+        .metrics
+        .answered(identified.service.as_str(), status, time);
     if shared.is_draining() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
--- a/crates/mimosa-gateway/src/server.rs
+++ b/crates/mimosa-gateway/src/server.rs
@@ -17,6 +17,7 @@
 use log::debug;
 use log::info;
 use log::warn;
+use mimosa_metrics::MetricsServer;
 use mimosa_protocol::Error;
 use mimosa_protocol::Result;
 use mimosa_route::CallerLimits;
@@ -75,10 +76,15 @@
             shared.settings.instance
         );
         let stop = Arc::new(Notify::new());
-        let background = vec![
+        let mut background = vec![
             tokio::spawn(control_link::run(Arc::clone(&shared))),
             tokio::spawn(answer_readiness(asked, Arc::clone(&shared))),
         ];
+        if let Some(address) = shared.settings.metrics {
+            let registry = shared.metrics.registry.clone();
+            let metrics = MetricsServer::bind(address, registry).await?;
+            background.push(tokio::spawn(metrics.run()));
+        }
         let accepting = tokio::spawn(accept(listener, Arc::clone(&shared), Arc::clone(&stop)));
         Ok(Running {
             address,
--- a/crates/mimosa-gateway/src/settings.rs
+++ b/crates/mimosa-gateway/src/settings.rs
@@ -20,6 +20,8 @@
     pub listen: SocketAddr,
     /// Where the platform asks whether it is ready.
     pub readiness: SocketAddr,
+    /// Where metrics are served, if anywhere.
+    pub metrics: Option<SocketAddr>,
     /// Control instances that are known at the start, named by their IP addresses.
     pub seeds: BTreeSet<InstanceId>,
     /// The port at which control instances listen to gateways.
--- a/crates/mimosa-gateway/src/shared.rs
+++ b/crates/mimosa-gateway/src/shared.rs
@@ -19,6 +19,7 @@
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::dispatch::Dispatch;
+use crate::metrics::Metrics;
 use crate::purse::Purse;
 use crate::settings::Settings;
 
@@ -35,6 +36,7 @@
     pub(crate) directory: Directory,
     pub(crate) dispatch: Arc<Dispatch>,
     pub(crate) purse: Purse,
+    pub(crate) metrics: Metrics,
     /// When a shutdown was asked for, in microseconds; 0 before.
     drains_since: AtomicU64,
     retries: Mutex<HashMap<ServiceId, RetryBudget>>,
@@ -56,6 +58,7 @@
             directory,
             dispatch: Arc::default(),
             purse: Purse::default(),
+            metrics: Metrics::new(),
             drains_since: AtomicU64::new(0),
             retries: Mutex::default(),
             started: Instant::now(),
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -144,6 +144,26 @@
     endpoint: &Arc<EndpointEntry>,
     step: Step,
     limit: Duration,
+) -> Result<Opened, CallFailure> {
+    let opened = call_once(shared, request, whole, endpoint, step, limit).await;
+    let outcome = match &opened {
+        Ok(_) => "answered",
+        Err(CallFailure::NotSent) => "not_sent",
+        Err(CallFailure::NotRun) => "not_run",
+        Err(CallFailure::Unknown(_)) => "unknown",
+        Err(CallFailure::TimedOut) => "timed_out",
+    };
+    shared.metrics.called(request.service.as_str(), outcome);
+    opened
+}
+
+async fn call_once(
+    shared: &Shared,
+    request: &Identified,
+    whole: &Whole,
+    endpoint: &Arc<EndpointEntry>,
+    step: Step,
+    limit: Duration,
 ) -> Result<Opened, CallFailure> {
     let now = shared.now();
     let prompt = match step {
--- /dev/null
+++ b/crates/mimosa-metrics/src/lib.rs
@@ -0,0 +1,103 @@
+//! Serves a process's counters and histograms as text over HTTP.
+//!
+//! Any path answers: the address is the metrics' own.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use log::debug;
+use log::warn;
+use mimosa_protocol::Error;
+use mimosa_protocol::Result;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+/// Time to send the head of a request.
+const HEAD_TIME: Duration = Duration::from_secs(5);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Upper bounds of the buckets of every latency, in seconds: from a hop inside a region to the
+/// longest wait of a caller.
+pub const LATENCY_BUCKETS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.9, 1.5, 3.0, 6.0, 15.0,
+];
+
+/// Where metrics are served.
+pub struct MetricsServer {
+    listener: TcpListener,
+    registry: Registry,
+}
+
+impl MetricsServer {
+    /// Binds the address.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Network`] if it cannot be bound.
+    pub async fn bind(address: SocketAddr, registry: Registry) -> Result<Self> {
+        let bound = TcpListener::bind(address).await;
+        let listener = bound.map_err(|source| Error::Network {
+            action: "listen on",
+            peer: address.to_string(),
+            source,
+        })?;
+        Ok(Self { listener, registry })
+    }
+
+    /// The address.
+    ///
+    /// # Errors
+    ///
+    /// If the socket is gone.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Answers until the task is aborted.
+    pub async fn run(self) {
+        loop {
+            let Ok((stream, _)) = self.listener.accept().await else {
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let registry = self.registry.clone();
+            let service = service_fn(move |_| {
+                let response = render(&registry);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            tokio::spawn(async move {
+                let connection = http1::Builder::new()
+                    .timer(TokioTimer::new())
+                    .header_read_timeout(HEAD_TIME)
+                    .serve_connection(TokioIo::new(stream), service);
+                if let Err(e) = connection.await {
+                    debug!("a connection for metrics ended: {e}");
+                }
+            });
+        }
+    }
+}
+
+fn render(registry: &Registry) -> Response<Full<Bytes>> {
+    match TextEncoder::new().encode_to_string(&registry.gather()) {
+        Ok(text) => Response::new(Full::new(text.into())),
+        Err(e) => {
+            warn!("the metrics cannot be written: {e}");
+            let mut response = Response::new(Full::default());
+            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            response
+        }
+    }
+}
--- a/crates/mimosa-schedule/src/fleet.rs
+++ b/crates/mimosa-schedule/src/fleet.rs
@@ -111,6 +111,19 @@
     }
 }
 
+impl Unplaced {
+    /// The reason as a stable word.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::NoEndpoint => "no_endpoint",
+            Self::TooLate => "too_late",
+            Self::TooLarge => "too_large",
+            Self::OverQuota => "over_quota",
+            Self::OverBurst => "over_burst",
+        }
+    }
+}
+
 /// What a fleet is told.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -239,6 +252,7 @@
 struct Run {
     ask: Ask,
     placement: Placement,
+    load: Load,
 }
 
 /// The scheduler of one service.
@@ -344,7 +358,16 @@
         self.endpoints
             .retain(|id, _| view.endpoints.iter().any(|each| each.id == *id));
         for each in &view.endpoints {
+            let is_new = !self.endpoints.contains_key(&each.id);
             let known = self.endpoints.entry(each.id.clone()).or_default();
+            if is_new {
+                // What gateways told before the endpoints were known.
+                let runs = self.runs.iter();
+                let here = runs.filter(|(_, run)| run.placement.decode == each.id);
+                known.loads = here
+                    .map(|(ticket, run)| (ticket.clone(), run.load))
+                    .collect();
+            }
             known.role = Some(each.role);
             known.data_centre = Some(each.data_centre.clone());
             known.cold_until = each.cold_until;
@@ -383,13 +406,13 @@
             return;
         }
         let expected = self.pace.expected_output(&held.ask);
+        let load = Load {
+            prompt: held.ask.prompt,
+            output: expected,
+            max_output: held.ask.max_output,
+            from: now.before(held.decoding_for),
+        };
         if let Some(endpoint) = self.endpoints.get_mut(&held.decode) {
-            let load = Load {
-                prompt: held.ask.prompt,
-                output: expected,
-                max_output: held.ask.max_output,
-                from: now.before(held.decoding_for),
-            };
             endpoint.loads.insert(ticket.clone(), load);
         }
         let run = Run {
@@ -398,6 +421,7 @@
                 decode: held.decode,
             },
             ask: held.ask,
+            load,
         };
         self.runs.insert(ticket, run);
     }
@@ -608,23 +632,22 @@
         {
             ready = endpoint.start_prefill(now, &ticket, prefill_time);
         }
+        let load = Load {
+            prompt: ask.prompt,
+            output: expected,
+            max_output: ask.max_output,
+            from: ready + self.settings.first_output_time,
+        };
         if let Some(endpoint) = self.endpoints.get_mut(&placement.decode) {
-            let load = Load {
-                prompt: ask.prompt,
-                output: expected,
-                max_output: ask.max_output,
-                from: ready + self.settings.first_output_time,
-            };
             endpoint.loads.insert(ticket.clone(), load);
             endpoint.count_cold(now);
         }
-        self.runs.insert(
-            ticket.clone(),
-            Run {
-                ask,
-                placement: placement.clone(),
-            },
-        );
+        let run = Run {
+            ask,
+            placement: placement.clone(),
+            load,
+        };
+        self.runs.insert(ticket.clone(), run);
         Action::Place { ticket, placement }
     }
 }
--- a/crates/mimosa-schedule/src/fleet/pace.rs
+++ b/crates/mimosa-schedule/src/fleet/pace.rs
@@ -76,8 +76,8 @@
             // One wild estimate must not move the average.
             self.output_permille = smooth(self.output_permille, ratio.min(4 * WHOLE));
         }
-        if ask.max_output.0 > 0 {
-            let ratio = output.0.saturating_mul(WHOLE) / ask.max_output.0;
+        let ratio = output.0.saturating_mul(WHOLE).checked_div(ask.max_output.0);
+        if let Some(ratio) = ratio {
             self.max_permille = smooth(self.max_permille, ratio.min(WHOLE));
         }
     }
--- a/crates/mimosa-schedule/tests/fleet.rs
+++ b/crates/mimosa-schedule/tests/fleet.rs
@@ -11,6 +11,7 @@
 use mimosa_schedule::fleet::Action;
 use mimosa_schedule::fleet::Event;
 use mimosa_schedule::fleet::Fleet;
+use mimosa_schedule::fleet::Held;
 use mimosa_schedule::fleet::RunEnd;
 use mimosa_schedule::fleet::Settings;
 use mimosa_schedule::fleet::Unplaced;
@@ -98,6 +99,31 @@
     expect_that!(placed(&later), eq(1));
 }
 
+/// A new leader hears of the runs before it has read the list of endpoints.
+#[gtest]
+fn what_gateways_hold_counts_also_if_the_endpoints_come_later() {
+    let mut fleet = Fleet::new(Settings::default(), Timestamp::ZERO);
+    let decodes: Vec<_> = view().endpoints.into_iter().map(|each| each.id).collect();
+    let decodes = decodes.iter().filter(|id| id.as_str().starts_with('d'));
+    let mut number = 0;
+    for decode in decodes {
+        // Eleven of these fill an endpoint's memory.
+        for _ in 0..11 {
+            number += 1;
+            let held = Held {
+                ask: ask(number, 5_000, 4_000),
+                decode: decode.clone(),
+                decoding_for: Duration::ZERO,
+            };
+            fleet.handle(START, Event::Held(held));
+        }
+    }
+    fleet.handle(START, Event::Configure(view()));
+    let actions = fleet.handle(START, Event::Ask(ask(1_000, 5_000, 4_000)));
+    expect_that!(placed(&actions), eq(0));
+    expect_that!(fleet.waiting(), eq(1));
+}
+
 /// An endpoint that cannot be reached gets nothing for a while; the request goes elsewhere.
 #[gtest]
 fn an_endpoint_that_failed_is_left_alone() {
--- a/src/command/check.rs
+++ b/src/command/check.rs
@@ -27,6 +27,7 @@
     let roles = [
         settings.entry.map(|_| "entry"),
         settings.control.map(|_| "control"),
+        settings.gateway.map(|_| "gateway"),
     ];
     let roles: Vec<_> = roles.into_iter().flatten().collect();
     println!(
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -44,6 +44,7 @@
         operators: operators
             .map(|operator| (operator.id, operator.key_digest))
             .collect(),
+        metrics: routing.metrics,
         seats: has_seeds.then(|| Seats {
             voters: 2 * routing.tolerated_losses as usize + 1,
             replace_after: REPLACE_AFTER,
@@ -75,6 +76,7 @@
         data_centre: instance.data_centre.clone(),
         listen: settings.listen,
         readiness: settings.readiness,
+        metrics: settings.metrics,
         seeds: instances(&settings.seeds).collect(),
         control_port: settings.control_port,
         control_silence: settings.control_silence,
--- a/tests/session/process.rs
+++ b/tests/session/process.rs
@@ -10,11 +10,12 @@
 use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::mpsc::Receiver;
 
 /// A process of the system.
 pub struct Process {
     child: Child,
-    stdout: BufReader<ChildStdout>,
+    announced: Receiver<String>,
     log: Arc<Mutex<String>>,
 }
 
@@ -28,17 +29,21 @@
             .stderr(Stdio::piped())
             .spawn()
             .expect("the binary starts");
-        let stdout = BufReader::new(child.stdout.take().expect("stdout is piped"));
+        let stdout = child.stdout.take().expect("stdout is piped");
         let log = Arc::default();
+        let announced = sort_lines(stdout, Arc::clone(&log));
         let stderr = child.stderr.take().expect("stderr is piped");
         collect(stderr, Arc::clone(&log));
-        Self { child, stdout, log }
+        Self {
+            child,
+            announced,
+            log,
+        }
     }
 
     /// Reads the next line of the form `name=value` and returns the value.
     pub fn announced(&mut self, name: &str) -> String {
-        let mut line = String::new();
-        self.stdout.read_line(&mut line).expect("stdout is text");
+        let line = self.announced.recv().unwrap_or_default();
         let value = line.trim().strip_prefix(&format!("{name}="));
         let value = value.unwrap_or_else(|| panic!("expected {name}=..., log:\n{}", self.log()));
         value.to_owned()
@@ -80,6 +85,23 @@
     Path::new(env!("CARGO_BIN_EXE_mimosaswitch"))
 }
 
+/// Log lines go into the log; the others, which announce addresses, to the test.
+fn sort_lines(stdout: ChildStdout, log: Arc<Mutex<String>>) -> Receiver<String> {
+    let (tx, announced) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+            if line.starts_with("ts=") {
+                let mut log = log.lock().expect("no holder of this lock panics");
+                log.push_str(&line);
+                log.push('\n');
+            } else {
+                tx.send(line).ok();
+            }
+        }
+    });
+    announced
+}
+
 fn collect(mut from: impl Read + Send + 'static, into: Arc<Mutex<String>>) {
     std::thread::spawn(move || {
         let mut buf = [0; 4096];
