Tell the leader of runs that a gateway placed alone

Cause: what gateways placed while no leader answered was unknown to the next leader, which filled the same endpoints again. Such runs are kept like others now and told with the next heartbeat.

--- a/crates/mimosa-gateway/src/control_link.rs
+++ b/crates/mimosa-gateway/src/control_link.rs
@@ -107,7 +107,7 @@
             }
             let leader = directory.leader();
             shared.dispatch.leader_is(shared.now(), leader.as_ref());
-            shared.dispatch.tell_holding(instance);
+            shared.dispatch.tell_holding(shared.now(), instance);
             heard.send(state.members).ok();
         }
         ControlMessage::Document { version, bytes } => directory.take_document(version, &bytes),
--- a/crates/mimosa-gateway/src/dispatch.rs
+++ b/crates/mimosa-gateway/src/dispatch.rs
@@ -58,6 +58,8 @@
     ask: Ask,
     placement: Placement,
     started: Option<Timestamp>,
+    /// Whether the leader knows of it.
+    is_told: bool,
 }
 
 enum Answer {
@@ -110,21 +112,22 @@
         inner.leader = leader.cloned();
         inner.silent_until = Timestamp::ZERO;
         inner.move_asked();
-        inner.tell_held(now);
+        inner.tell_held(now, |_| true);
     }
 
     /// Tells the leader what runs, after the connection to it was made.
     pub(crate) fn tell_held(&self, now: Timestamp, instance: &InstanceId) {
-        let inner = self.lock();
+        let mut inner = self.lock();
         if inner.leader.as_ref() == Some(instance) {
-            inner.tell_held(now);
+            inner.tell_held(now, |_| true);
         }
     }
 
     /// Answers a heartbeat of a control instance, if it leads: what waits or runs.
-    pub(crate) fn tell_holding(&self, instance: &InstanceId) {
-        let inner = self.lock();
+    pub(crate) fn tell_holding(&self, now: Timestamp, instance: &InstanceId) {
+        let mut inner = self.lock();
         if inner.leader.as_ref() == Some(instance) {
+            inner.tell_held(now, |run| !run.is_told);
             let numbers = inner.asked.keys().chain(inner.runs.keys());
             let numbers = numbers.copied().collect();
             inner.send(GatewayMessage::Holding { numbers });
@@ -238,6 +241,21 @@
         Some((number, queued, answer, ask))
     }
 
+    /// Keeps a run that this gateway placed without the leader, so that the next leader counts it.
+    pub(crate) fn keep_alone(
+        self: &Arc<Self>,
+        service: &ServiceId,
+        ask: impl FnOnce(u64) -> Ask,
+        placement: Placement,
+    ) -> Run {
+        let number = {
+            let mut inner = self.lock();
+            inner.next += 1;
+            inner.next
+        };
+        self.run(number, service, ask(number), placement)
+    }
+
     fn run(
         self: &Arc<Self>,
         number: u64,
@@ -246,12 +264,13 @@
         placement: Placement,
     ) -> Run {
         let mut inner = self.lock();
-        inner.asked.remove(&number);
+        let asked = inner.asked.remove(&number);
         let state = RunState {
             service: service.clone(),
             ask,
             placement: placement.clone(),
             started: None,
+            is_told: asked.is_some(),
         };
         inner.runs.insert(number, state);
         Run {
@@ -341,8 +360,9 @@
         }
     }
 
-    fn tell_held(&self, now: Timestamp) {
-        for run in self.runs.values() {
+    fn tell_held(&mut self, now: Timestamp, wanted: impl Fn(&RunState) -> bool) {
+        let mut told = Vec::new();
+        for (number, run) in self.runs.iter().filter(|(_, run)| wanted(run)) {
             let decoding_for = run.started.map(|at| now.since(at));
             let held = Held {
                 ask: run.ask.clone(),
@@ -350,7 +370,14 @@
                 decoding_for: decoding_for.unwrap_or_default(),
             };
             let service = run.service.clone();
-            self.send(GatewayMessage::Held { service, held });
+            if self.send(GatewayMessage::Held { service, held }) {
+                told.push(*number);
+            }
+        }
+        for number in told {
+            if let Some(run) = self.runs.get_mut(&number) {
+                run.is_told = true;
+            }
         }
     }
 }
--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -18,6 +18,7 @@
 use mimosa_protocol::configuration::EndpointRole;
 use mimosa_route::Route;
 use mimosa_schedule::fleet::Ask;
+use mimosa_schedule::fleet::Placement;
 use mimosa_schedule::fleet::RunEnd;
 use mimosa_schedule::fleet::Unplaced;
 use tokio::time::timeout;
@@ -54,7 +55,7 @@
 struct Places {
     prefill: Option<Arc<EndpointEntry>>,
     decode: Arc<EndpointEntry>,
-    run: Option<Run>,
+    run: Run,
 }
 
 /// What was tried for a request so far.
@@ -113,10 +114,10 @@
         run,
     } = places;
     if let Some(endpoint) = prefill_at {
-        match prefill(shared, request, whole, &endpoint, run.as_ref()).await {
+        match prefill(shared, request, whole, &endpoint, &run).await {
             Ok(held) => tried.cache = Some(held),
             Err(failure) => {
-                end(run, RunEnd::Unreachable(endpoint.listed.id.clone()));
+                run.end(RunEnd::Unreachable(endpoint.listed.id.clone()));
                 tried.endpoints.push(endpoint);
                 // Whatever became of the prefill, the request itself did not run.
                 return Err(match failure {
@@ -146,7 +147,7 @@
             let engine = engine.and_then(|service| service.engine);
             let info = StreamInfo {
                 request: request.facts.attempt.clone(),
-                run,
+                run: Some(run),
                 tokens_per_event: engine.map_or(Tokens(1), |engine| engine.tokens_per_event),
             };
             Ok(relay::stream(shared, opened, info))
@@ -157,26 +158,17 @@
                 request.facts.attempt, decode.listed.id
             );
             let id = decode.listed.id.clone();
-            end(
-                run,
-                match failure {
-                    CallFailure::NotRun => RunEnd::NoRoom,
-                    CallFailure::NotSent => RunEnd::Unreachable(id),
-                    _ => RunEnd::Broken,
-                },
-            );
+            run.end(match failure {
+                CallFailure::NotRun => RunEnd::NoRoom,
+                CallFailure::NotSent => RunEnd::Unreachable(id),
+                _ => RunEnd::Broken,
+            });
             tried.endpoints.push(decode);
             Err(failure)
         }
     }
 }
 
-fn end(run: Option<Run>, end: RunEnd) {
-    if let Some(run) = run {
-        run.end(end);
-    }
-}
-
 /// Finds out where a request runs: the leader decides, or this gateway if no leader answers.
 async fn place(
     shared: &Arc<Shared>,
@@ -216,7 +208,7 @@
             Ok(Places {
                 prefill,
                 decode: decode.ok_or_else(gone)?,
-                run: Some(run),
+                run,
             })
         }
         Verdict::Unplaced(why, retry_after) => {
@@ -252,10 +244,20 @@
         Some(_) => None,
         None => choose(EndpointRole::Prefill),
     };
+    let decode = choose(EndpointRole::Decode).ok_or_else(|| not_run("no decode endpoint"))?;
+    let placement = Placement {
+        prefill: None,
+        decode: decode.listed.id.clone(),
+    };
+    let run = shared.dispatch.keep_alone(
+        &request.service,
+        |number| ask(shared, request, tried, now, number),
+        placement,
+    );
     Ok(Places {
         prefill,
-        decode: choose(EndpointRole::Decode).ok_or_else(|| not_run("no decode endpoint"))?,
-        run: None,
+        decode,
+        run,
     })
 }
 
@@ -326,14 +328,13 @@
     request: &Identified,
     whole: &Whole,
     endpoint: &Arc<EndpointEntry>,
-    run: Option<&Run>,
+    run: &Run,
 ) -> Result<HeldCache, CallFailure> {
     let started = shared.now();
     let held = prefill_at(shared, request, whole, endpoint).await;
-    match (&held, run) {
-        (Ok(_), Some(run)) => run.prefilled(shared.now().since(started)),
-        (Ok(_), None) => {}
-        (Err(failure), _) => info!(
+    match &held {
+        Ok(_) => run.prefilled(shared.now().since(started)),
+        Err(failure) => info!(
             "request={} step=prefill outcome={failure:?} endpoint={}",
             request.facts.attempt, endpoint.listed.id
         ),
