--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -51,6 +51,10 @@
 /// Places where one request is tried: the first, and others after an endpoint was full or gone.
 const MAX_PLACES: u32 = 3;
 
+/// Part of the latency target, in thousandths, after which a first prefill is given up for another
+/// endpoint, while that can still be in time. A prefill is no run of the request.
+const FIRST_PREFILL_PERMILLE: u32 = 600;
+
 /// Where a request runs.
 struct Places {
     prefill: Option<Arc<EndpointEntry>>,
@@ -114,7 +118,12 @@
         run,
     } = places;
     if let Some(endpoint) = prefill_at {
-        match prefill(shared, request, whole, &endpoint, &run).await {
+        let patience = if tried.endpoints.is_empty() {
+            request.route.target * FIRST_PREFILL_PERMILLE / 1_000
+        } else {
+            Duration::MAX
+        };
+        match prefill(shared, request, whole, &endpoint, &run, patience).await {
             Ok(held) => tried.cache = Some(held),
             Err(failure) => {
                 run.end(RunEnd::Unreachable(endpoint.listed.id.clone()));
@@ -147,6 +156,7 @@
             let engine = engine.and_then(|service| service.engine);
             let info = StreamInfo {
                 request: request.facts.attempt.clone(),
+                arrived: request.arrived,
                 run: Some(run),
                 tokens_per_event: engine.map_or(Tokens(1), |engine| engine.tokens_per_event),
             };
@@ -329,9 +339,10 @@
     whole: &Whole,
     endpoint: &Arc<EndpointEntry>,
     run: &Run,
+    patience: Duration,
 ) -> Result<HeldCache, CallFailure> {
     let started = shared.now();
-    let held = prefill_at(shared, request, whole, endpoint).await;
+    let held = prefill_at(shared, request, whole, endpoint, patience).await;
     match &held {
         Ok(_) => run.prefilled(shared.now().since(started)),
         Err(failure) => info!(
@@ -347,12 +358,13 @@
     request: &Identified,
     whole: &Whole,
     endpoint: &Arc<EndpointEntry>,
+    patience: Duration,
 ) -> Result<HeldCache, CallFailure> {
-    let left = request.time_left(shared.now());
-    let opened = upstream::call(shared, request, whole, endpoint, Step::Prefill, left).await?;
+    let limit = request.time_left(shared.now()).min(patience);
+    let opened = upstream::call(shared, request, whole, endpoint, Step::Prefill, limit).await?;
     let sent = opened.sent;
     let body = Limited::new(opened.response.into_body(), MAX_PREFILL_ANSWER);
-    let body = timeout(left, body.collect()).await;
+    let body = timeout(limit, body.collect()).await;
     let now = shared.now();
     let Ok(Ok(body)) = body else {
         endpoint.health().lost(now);
--- a/crates/mimosa-gateway/src/relay.rs
+++ b/crates/mimosa-gateway/src/relay.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -92,6 +93,7 @@
         sent: opened.sent,
         info,
         events: EventCount::default(),
+        pace: StreamPace::default(),
         bytes: 0,
     };
     Response::from_parts(head, relay.boxed_unsync())
@@ -102,6 +104,8 @@
 pub(crate) struct StreamInfo {
     /// The request's name in the log; empty if its end is not logged.
     pub(crate) request: String,
+    /// When the request arrived.
+    pub(crate) arrived: Timestamp,
     /// The run that the leader placed.
     pub(crate) run: Option<Run>,
     /// Output tokens in one event.
@@ -131,6 +135,25 @@
     }
 }
 
+/// When the parts of a stream came.
+#[derive(Default)]
+struct StreamPace {
+    first: Option<Timestamp>,
+    last: Timestamp,
+    longest_pause: Duration,
+}
+
+impl StreamPace {
+    fn add(&mut self, now: Timestamp) {
+        if self.first.is_none() {
+            self.first = Some(now);
+        } else {
+            self.longest_pause = self.longest_pause.max(now.since(self.last));
+        }
+        self.last = now;
+    }
+}
+
 /// The body of an answer on its way. Dropped before its end, it closes the endpoint's connection.
 struct Relay {
     shared: Arc<Shared>,
@@ -141,6 +164,7 @@
     sent: Timestamp,
     info: StreamInfo,
     events: EventCount,
+    pace: StreamPace,
     bytes: u64,
 }
 
@@ -148,6 +172,7 @@
     fn take(&mut self, data: &Bytes) {
         let is_first = self.bytes == 0;
         self.bytes += data.len() as u64;
+        self.pace.add(self.shared.now());
         if let Some(run) = &self.info.run {
             if is_first && !data.is_empty() {
                 run.started(self.shared.now());
@@ -176,12 +201,19 @@
             }
             if !self.info.request.is_empty() {
                 info!(
-                    "request={} step=stream outcome={outcome} endpoint={} events={} bytes={} took_ms={}",
+                    "request={} step=stream outcome={outcome} endpoint={} events={} bytes={} \
+                     first_ms={} longest_pause_ms={} took_ms={}",
                     self.info.request,
                     self.endpoint.listed.id,
                     self.events.count,
                     self.bytes,
-                    now.since(self.sent).as_millis()
+                    self.pace
+                        .first
+                        .unwrap_or(now)
+                        .since(self.info.arrived)
+                        .as_millis(),
+                    self.pace.longest_pause.as_millis(),
+                    now.since(self.info.arrived).as_millis()
                 );
             }
         }
