Refuse what exceeds a whole burst for good, and answer 405 with Allow

A request whose cost is beyond its account's burst got 429 with a Retry-After and could never be admitted; it gets 413 over_burst now. A known path with the wrong method got 404.

--- a/crates/mimosa-entry/src/admission.rs
+++ b/crates/mimosa-entry/src/admission.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 
 use mimosa_limit::slice::Admission;
-use mimosa_protocol::AccountId;
 use mimosa_protocol::Refusal;
 use mimosa_protocol::RefusalReason;
 use mimosa_protocol::RequestId;
 use mimosa_protocol::Tokens;
+use mimosa_protocol::configuration::ClientAccount;
 
 use crate::shared::Shared;
 
@@ -36,20 +36,23 @@
 ///
 /// # Errors
 ///
-/// A refusal if the account is over its rate.
+/// A refusal if the account is over its rate, or the cost over its burst.
 pub(crate) async fn reserve(
     shared: &Arc<Shared>,
     request: RequestId,
-    account: &AccountId,
+    account: &ClientAccount,
     cost: Tokens,
 ) -> Result<Ticket, Refusal> {
+    if cost > account.burst {
+        return Err(Refusal::not_run(RefusalReason::OverBurst));
+    }
     let ticket = Ticket {
         shared: Arc::clone(shared),
         request,
         used: Tokens::ZERO,
     };
     loop {
-        let admission = shared.limits.reserve(shared, request, account, cost);
+        let admission = shared.limits.reserve(shared, request, &account.id, cost);
         match admission {
             Admission::Admitted => return Ok(ticket),
             Admission::Wait(time) => shared.limits.wait_for_grant(time).await,
--- a/crates/mimosa-entry/src/metrics.rs
+++ b/crates/mimosa-entry/src/metrics.rs
@@ -116,7 +116,7 @@
     /// Counts a request that ended without a whole answer.
     pub(crate) fn refused(&self, reason: RefusalReason, ran: Ran) {
         let inside_rate = match reason {
-            RefusalReason::OverRate => "no",
+            RefusalReason::OverRate | RefusalReason::OverBurst => "no",
             RefusalReason::Unauthenticated
             | RefusalReason::Forbidden
             | RefusalReason::NotFound
--- a/crates/mimosa-entry/src/route.rs
+++ b/crates/mimosa-entry/src/route.rs
@@ -43,7 +43,7 @@
         .route("/services/{name}/", any(services::call))
         .route("/services/{name}/{*path}", any(services::call))
         .fallback(not_found)
-        .method_not_allowed_fallback(not_found)
+        .method_not_allowed_fallback(wrong_method)
         .layer(filters)
         .route("/healthz", get(operations::healthz))
         .route("/readyz", get(operations::readyz))
@@ -54,3 +54,8 @@
 async fn not_found() -> axum::response::Response {
     problem::response(&Refusal::not_run(RefusalReason::NotFound))
 }
+
+/// The router adds which methods are allowed.
+async fn wrong_method() -> axum::response::Response {
+    problem::response(&Refusal::not_run(RefusalReason::WrongMethod))
+}
--- a/crates/mimosa-entry/src/route/completions.rs
+++ b/crates/mimosa-entry/src/route/completions.rs
@@ -142,7 +142,7 @@
     shared.suspects.check(arrived, call.fingerprint)?;
     let ticket = match &account {
         None => None,
-        Some(account) => Some(reserve(&shared, request, &account.id, call.cost()).await?),
+        Some(account) => Some(reserve(&shared, request, account, call.cost()).await?),
     };
     Ok(Admitted {
         shared,
--- a/crates/mimosa-protocol/src/outcome.rs
+++ b/crates/mimosa-protocol/src/outcome.rs
@@ -26,6 +26,8 @@
         Forbidden,
         /// No such service or path.
         NotFound,
+        /// The path does not take this method.
+        WrongMethod,
         /// The request is malformed.
         Malformed,
         /// The body is larger than the settings allow.
@@ -34,6 +36,8 @@
         SlowSender,
         /// The account is over its rate and burst.
         OverRate,
+        /// The request costs more than the account's whole burst: it can never be admitted.
+        OverBurst,
         /// The latency target can no longer be met.
         TooLate,
         /// The queue is full.
@@ -73,14 +77,16 @@
 
 impl RefusalReason {
     /// Every reason, for bounded metric labels.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 21] = [
         Self::Unauthenticated,
         Self::Forbidden,
         Self::NotFound,
+        Self::WrongMethod,
         Self::Malformed,
         Self::TooLarge,
         Self::SlowSender,
         Self::OverRate,
+        Self::OverBurst,
         Self::TooLate,
         Self::QueueFull,
         Self::NoEndpoint,
@@ -101,10 +107,12 @@
             Self::Unauthenticated => "unauthenticated",
             Self::Forbidden => "forbidden",
             Self::NotFound => "not_found",
+            Self::WrongMethod => "wrong_method",
             Self::Malformed => "malformed",
             Self::TooLarge => "too_large",
             Self::SlowSender => "slow_sender",
             Self::OverRate => "over_rate",
+            Self::OverBurst => "over_burst",
             Self::TooLate => "too_late",
             Self::QueueFull => "queue_full",
             Self::NoEndpoint => "no_endpoint",
