Share the retries that are allowed between the gateways that there are

It takes its part of half of what the settings allow, by the number of gateways that the leader tells.

--- a/crates/mimosa-config/src/gateway.rs
+++ b/crates/mimosa-config/src/gateway.rs
@@ -8,6 +8,7 @@
 use crate::control::SeedAddress;
 use crate::reader::Faults;
 use crate::reader::Reader;
+use crate::value::Ratio;
 
 /// The gateway role.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,10 +27,10 @@
     pub drain_time: Duration,
     /// Silence after which a control instance counts as lost.
     pub control_silence: Duration,
-    /// Thousandths of a retry that each request earns at this gateway.
-    pub retry_permille: u64,
-    /// Retries of a service that may be saved up at this gateway.
-    pub saved_retries: u64,
+    /// Retries that each request allows, all gateways together.
+    pub retry_ratio: Ratio,
+    /// Retries of a service besides, all gateways together.
+    pub retry_slack: u64,
 }
 
 impl Default for GatewaySettings {
@@ -43,8 +44,8 @@
             control_port: 7501,
             drain_time: Duration::from_secs(7),
             control_silence: Duration::from_secs(3),
-            retry_permille: 100,
-            saved_retries: 4,
+            retry_ratio: Ratio(200),
+            retry_slack: 20,
         }
     }
 }
@@ -61,8 +62,8 @@
             control_port: reader.or("control_port", default.control_port, faults),
             drain_time: reader.duration("drain_time", default.drain_time, faults),
             control_silence: reader.duration("control_silence", default.control_silence, faults),
-            retry_permille: reader.or("retry_permille", default.retry_permille, faults),
-            saved_retries: reader.or("saved_retries", default.saved_retries, faults),
+            retry_ratio: reader.or("retry_ratio", default.retry_ratio, faults),
+            retry_slack: reader.or("retry_slack", default.retry_slack, faults),
         };
         if settings.seeds.is_empty() {
             let help = "list the addresses of some control instances";
--- a/crates/mimosa-gateway/src/control_link.rs
+++ b/crates/mimosa-gateway/src/control_link.rs
@@ -4,6 +4,7 @@
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use log::info;
 use log::warn;
@@ -100,6 +101,9 @@
             if directory.take_state(&state) {
                 send(outbox, GatewayMessage::WantDocument);
             }
+            if state.gateways > 0 {
+                shared.gateways.store(state.gateways, Ordering::Relaxed);
+            }
             if let Some(table) = directory.table()
                 && state.gateways > 0
             {
--- a/crates/mimosa-gateway/src/settings.rs
+++ b/crates/mimosa-gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use mimosa_hold::retry::RetrySettings;
 use mimosa_protocol::DataCentreId;
 use mimosa_protocol::InstanceId;
 
@@ -34,20 +35,35 @@
     pub retries: Retries,
 }
 
-/// The retries of a service that its callers may cause.
+/// The retries that a service may get, all gateways together.
 #[derive(Clone, Copy, Debug)]
 pub struct Retries {
-    /// Thousandths of a retry that each request earns.
-    pub per_request: u64,
-    /// Retries that may be saved up.
-    pub saved: u64,
+    /// Thousandths of a retry that each request allows.
+    pub permille: u64,
+    /// Retries besides.
+    pub slack: u64,
 }
 
 impl Default for Retries {
     fn default() -> Self {
         Self {
-            per_request: 100,
-            saved: 4,
+            permille: 200,
+            slack: 20,
+        }
+    }
+}
+
+impl Retries {
+    /// The part of one gateway of several. Half of what is allowed is used: callers repeat
+    /// requests as well, and gateways come and go.
+    pub fn share(self, gateways: u32) -> RetrySettings {
+        /// Time without any request in which one retry is earned.
+        const TRICKLE: Duration = Duration::from_secs(10);
+        RetrySettings {
+            per_success: self.permille / 2,
+            saved: (self.slack / 2 / u64::from(gateways.max(1))).max(1),
+            trickle: TRICKLE,
+            ..RetrySettings::default()
         }
     }
 }
--- a/crates/mimosa-gateway/src/shared.rs
+++ b/crates/mimosa-gateway/src/shared.rs
@@ -4,14 +4,13 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
 
 use mimosa_hold::retry::RetryBudget;
-use mimosa_hold::retry::RetrySettings;
 use mimosa_protocol::ServiceId;
 use mimosa_protocol::Timestamp;
 use mimosa_route::Repeat;
@@ -29,6 +28,9 @@
 /// Part of the drain time, in thousandths, in which other requests are still taken.
 const PLAIN_DRAIN_PART: u32 = 850;
 
+/// Gateways assumed before a control instance told how many there are.
+const ASSUMED_GATEWAYS: u32 = 8;
+
 /// What all requests share.
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
@@ -39,6 +41,8 @@
     pub(crate) metrics: Metrics,
     /// When a shutdown was asked for, in microseconds; 0 before.
     drains_since: AtomicU64,
+    /// Gateways that share what is allowed to all together.
+    pub(crate) gateways: AtomicU32,
     retries: Mutex<HashMap<ServiceId, RetryBudget>>,
     started: Instant,
     base: Timestamp,
@@ -60,6 +64,7 @@
             purse: Purse::default(),
             metrics: Metrics::new(),
             drains_since: AtomicU64::new(0),
+            gateways: AtomicU32::new(ASSUMED_GATEWAYS),
             retries: Mutex::default(),
             started: Instant::now(),
             base: Timestamp::ZERO + since_epoch,
@@ -122,19 +127,15 @@
         service: &ServiceId,
         change: impl FnOnce(&mut RetryBudget) -> T,
     ) -> T {
-        /// Time without any request in which one retry is earned.
-        const TRICKLE: Duration = Duration::from_secs(10);
         let mut budgets = self.retries.lock().unwrap_or_else(PoisonError::into_inner);
-        let retries = self.settings.retries;
-        let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            let settings = RetrySettings {
-                per_success: retries.per_request,
-                saved: retries.saved,
-                trickle: TRICKLE,
-                ..RetrySettings::default()
-            };
-            RetryBudget::new(now, settings)
-        });
+        let gateways = self.gateways.load(Ordering::Relaxed);
+        let settings = self.settings.retries.share(gateways);
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(now, settings));
+        if budget.settings() != settings {
+            budget.set_settings(settings);
+        }
         change(budget)
     }
 }
--- a/crates/mimosa-hold/src/retry.rs
+++ b/crates/mimosa-hold/src/retry.rs
@@ -52,6 +52,12 @@
         }
     }
 
+    /// Changes the settings; savings beyond the new ones are lost.
+    pub fn set_settings(&mut self, settings: RetrySettings) {
+        self.settings = settings;
+        self.balance = self.balance.min(settings.saved * WHOLE);
+    }
+
     /// The settings.
     pub const fn settings(&self) -> RetrySettings {
         self.settings
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -82,8 +82,8 @@
         control_silence: settings.control_silence,
         drain_time: settings.drain_time,
         retries: Retries {
-            per_request: settings.retry_permille,
-            saved: settings.saved_retries,
+            permille: settings.retry_ratio.0,
+            slack: settings.retry_slack,
         },
     }
 }
