--- a/crates/mimosa-control/tests/dispatch.rs
+++ b/crates/mimosa-control/tests/dispatch.rs
@@ -36,6 +36,7 @@
 use mimosa_route::message::ControlMessage;
 use mimosa_route::message::GatewayMessage;
 use mimosa_schedule::fleet::Ask;
+use mimosa_schedule::fleet::RunEnd;
 use mimosa_schedule::fleet::Ticket;
 use mimosa_transport::frame;
 use tempfile::TempDir;
@@ -71,40 +72,48 @@
     }
 }
 
-struct OneEndpoint;
+/// Endpoints by name: `p-` ones prefill, `d-` ones decode.
+struct Endpoints(&'static [&'static str]);
 
-impl EndpointSource for OneEndpoint {
+const ONE_DECODE: Endpoints = Endpoints(&["d-1"]);
+
+impl EndpointSource for Endpoints {
     fn list(&self) -> Boxed<'_, std::result::Result<Vec<ListedEndpoint>, ListError>> {
-        let endpoint = ListedEndpoint {
-            id: "d-1".parse().unwrap(),
+        let endpoints = self.0.iter().map(|name| ListedEndpoint {
+            id: name.parse().unwrap(),
             service: "verse".parse().unwrap(),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             data_centre: "north".parse().unwrap(),
-            role: EndpointRole::Decode,
+            role: match name.starts_with('p') {
+                true => EndpointRole::Prefill,
+                false => EndpointRole::Decode,
+            },
             state: EndpointState::Active,
             slots: 64,
             cold_left: Duration::ZERO,
             born: 1,
-        };
-        Box::pin(async move { Ok(vec![endpoint]) })
+        });
+        let endpoints = endpoints.collect();
+        Box::pin(async move { Ok(endpoints) })
     }
 }
 
-/// Engines that take no orders.
-struct NoEngines;
+/// Orders that accept everything and tell the test of it.
+struct Accepting(mpsc::UnboundedSender<(String, EndpointRole, OrderStamp)>);
 
-impl EngineOrders for NoEngines {
+impl EngineOrders for Accepting {
     fn accepted(&self, _: &ListedEndpoint) -> Boxed<'_, std::result::Result<u64, EngineError>> {
-        Box::pin(async { Err(EngineError::Refused("there is no engine".to_owned())) })
+        Box::pin(async { Ok(7) })
     }
 
     fn change_role(
         &self,
-        _: &ListedEndpoint,
-        _: EndpointRole,
-        _: OrderStamp,
+        endpoint: &ListedEndpoint,
+        role: EndpointRole,
+        stamp: OrderStamp,
     ) -> Boxed<'_, std::result::Result<(), EngineError>> {
-        Box::pin(async { Err(EngineError::Refused("there is no engine".to_owned())) })
+        self.0.send((endpoint.id.to_string(), role, stamp)).ok();
+        Box::pin(async { Ok(()) })
     }
 }
 
@@ -119,6 +128,11 @@
 }
 
 async fn start() -> (Running, TempDir) {
+    let (orders, _) = mpsc::unbounded_channel();
+    start_with(ONE_DECODE, Accepting(orders)).await
+}
+
+async fn start_with(endpoints: Endpoints, engines: Accepting) -> (Running, TempDir) {
     let folder = tempfile::tempdir().unwrap();
     let own: InstanceId = "127.0.0.1".parse().unwrap();
     let settings = Settings {
@@ -130,6 +144,7 @@
             seeds: BTreeSet::from([own]),
             port: 1,
         }),
+        order_lease: Duration::from_millis(100),
         ..Settings::default()
     };
     let (tx, mut handed) = mpsc::unbounded_channel();
@@ -137,9 +152,9 @@
     let running = bound
         .start_routing(Outside {
             format: Arc::new(OneModel),
-            source: Arc::new(OneEndpoint),
+            source: Arc::new(endpoints),
             operators: Arc::new(Handed(tx)),
-            engines: Arc::new(NoEngines),
+            engines: Arc::new(engines),
             list_interval: Duration::from_millis(20),
         })
         .await
@@ -221,7 +236,7 @@
     while gateway.answer().await != (true, 1) {}
     gateway.ask(2).await;
     expect_that!(gateway.answer().await, eq((false, 2)));
-    let end = mimosa_schedule::fleet::RunEnd::Broken;
+    let end = RunEnd::Broken;
     gateway.say(GatewayMessage::Ended { number: 1, end }).await;
     expect_that!(gateway.answer().await, eq((true, 2)));
 }
@@ -259,3 +274,33 @@
     expect_that!(other.answer().await, eq((false, 1)));
     expect_that!(other.answer().await, eq((true, 1)));
 }
+
+/// Decode endpoints are full while prefill endpoints idle: one of these is ordered to decode, once.
+#[googletest::test]
+#[tokio::test]
+async fn an_idle_prefill_endpoint_is_ordered_to_decode() {
+    let (tx, mut orders) = mpsc::unbounded_channel();
+    let endpoints = Endpoints(&["d-1", "d-2", "p-1", "p-2", "p-3", "p-4"]);
+    let (control, _folder) = start_with(endpoints, Accepting(tx)).await;
+    let mut gateway = Gateway::connect(&control, "10.0.0.1").await;
+    for number in 1..=30 {
+        gateway.ask(number).await;
+        while gateway.answer().await != (true, number) {}
+        let took = Duration::from_millis(10);
+        gateway
+            .say(GatewayMessage::Prefilled { number, took })
+            .await;
+        gateway.say(GatewayMessage::Started { number }).await;
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        let end = RunEnd::Complete(Tokens(3_000));
+        gateway.say(GatewayMessage::Ended { number, end }).await;
+    }
+    let (endpoint, role, stamp) = orders.recv().await.unwrap();
+    expect_that!(endpoint, starts_with("p-"));
+    expect_that!(role, eq(EndpointRole::Decode));
+    expect_that!(stamp.holder.as_str(), eq("127.0.0.1"));
+    expect_that!(stamp.fencing.get(), gt(0));
+    expect_that!(stamp.accepted, eq(7));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    expect_true!(orders.try_recv().is_err());
+}
