--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -1,7 +1,5 @@
 //! The leader's schedulers: one for each service of a model, over all its endpoints.
 
-use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -11,36 +9,23 @@
 use log::info;
 use log::warn;
 use mimosa_limit::quota::NewLevel;
-use mimosa_limit::quota::OverQuota;
-use mimosa_limit::quota::QuotaLimits;
 use mimosa_limit::quota::Quotas;
 use mimosa_limit::quota::Tolerance;
-use mimosa_protocol::AccountId;
-use mimosa_protocol::DataCentreId;
 use mimosa_protocol::EndpointId;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::ServiceId;
 use mimosa_protocol::Timestamp;
-use mimosa_protocol::TokenRate;
-use mimosa_protocol::Tokens;
 use mimosa_protocol::configuration::EndpointRole;
-use mimosa_protocol::configuration::EndpointState;
 use mimosa_route::DocumentFormat;
 use mimosa_route::EndpointList;
 use mimosa_route::RouteTable;
 use mimosa_route::message::ControlMessage;
 use mimosa_route::message::GatewayMessage;
 use mimosa_schedule::balance::better_role;
-use mimosa_schedule::fleet::Action;
-use mimosa_schedule::fleet::Ask;
 use mimosa_schedule::fleet::Event;
 use mimosa_schedule::fleet::Fleet;
 use mimosa_schedule::fleet::RunEnd;
-use mimosa_schedule::fleet::Settings;
 use mimosa_schedule::fleet::Ticket;
-use mimosa_schedule::fleet::Unplaced;
-use mimosa_schedule::fleet::View;
-use mimosa_schedule::fleet::ViewEndpoint;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -53,8 +38,12 @@
 use crate::routing::metrics::Metrics;
 use crate::shared::Shared;
 
-/// Time in which gateways tell a new leader what they hold, before it places anything.
-const HANDOVER_TIME: Duration = Duration::from_millis(200);
+mod inner;
+
+use self::inner::Changing;
+use self::inner::Connected;
+use self::inner::Inner;
+
 /// Time between two lines on the state of the schedulers.
 const SUMMARY_PERIOD: Duration = Duration::from_secs(1);
 /// Time between two looks at who leads.
@@ -76,50 +65,6 @@
     inner: Mutex<Inner>,
 }
 
-#[derive(Default)]
-struct Inner {
-    metrics: Metrics,
-    leads: bool,
-    lead_since: Timestamp,
-    /// When the state of the schedulers was last logged.
-    summarised: Timestamp,
-    /// The first log index of this term.
-    leads_from: u64,
-    fleets: HashMap<ServiceId, Fleet>,
-    services: HashMap<Ticket, ServiceId>,
-    gateways: HashMap<InstanceId, Connected>,
-    lost: HashMap<InstanceId, Timestamp>,
-    table: RouteTable,
-    quotas: Quotas,
-    /// What each placed or waiting request was charged, and when.
-    charges: HashMap<Ticket, Charge>,
-    list: Arc<EndpointList>,
-    out: BTreeSet<DataCentreId>,
-    /// Endpoints that were ordered to take another role.
-    changing: HashMap<EndpointId, Changing>,
-    /// The log index of the routing state that `table` and `out` come from.
-    routing: Option<u64>,
-}
-
-/// A change of role that is under way.
-struct Changing {
-    role: EndpointRole,
-    until: Timestamp,
-}
-
-/// What a request was charged.
-struct Charge {
-    account: AccountId,
-    cost: Tokens,
-    at: Timestamp,
-}
-
-/// A gateway's connection.
-struct Connected {
-    connection: u64,
-    outbox: mpsc::Sender<ControlMessage>,
-}
-
 impl Dispatcher {
     /// A dispatcher that does not lead yet.
     pub fn new(
@@ -389,198 +334,3 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-impl Inner {
-    fn configure_fleets(&mut self, now: Timestamp) {
-        if self.list.term == 0 {
-            // This leader has not read the list yet.
-            return;
-        }
-        let silent_until = self.lead_since + HANDOVER_TIME;
-        let services = self.table.configuration().services.iter();
-        let views: Vec<(ServiceId, View)> = services
-            .filter_map(|service| {
-                let engine = service.engine?;
-                let view = View {
-                    memory: engine.memory,
-                    slots: engine.slots,
-                    endpoints: self.view_endpoints(now, &service.id),
-                };
-                Some((service.id.clone(), view))
-            })
-            .collect();
-        for (service, view) in views {
-            let fleet = self
-                .fleets
-                .entry(service.clone())
-                .or_insert_with(|| Fleet::new(Settings::default(), silent_until));
-            let actions = fleet.handle(now, Event::Configure(view));
-            self.carry_out(now, actions);
-        }
-    }
-
-    /// Endpoints whose new role the list shows, or that took too long, take work again.
-    fn forget_changes(&mut self, now: Timestamp) {
-        let before = self.changing.len();
-        let listed = &self.list.endpoints;
-        self.changing.retain(|id, change| {
-            let shown = listed.iter().find(|each| each.id == *id);
-            now < change.until && shown.is_some_and(|each| each.role != change.role)
-        });
-        if self.changing.len() != before {
-            self.configure_fleets(now);
-        }
-    }
-
-    fn configure_quotas(&mut self, now: Timestamp, tolerance: Tolerance, new: NewLevel) {
-        let accounts = self.table.configuration().accounts.iter();
-        let limits = accounts.filter_map(|account| {
-            let quota = account.quota?;
-            let limits = QuotaLimits {
-                rate: TokenRate(quota.rate.0),
-                burst: quota.burst,
-            };
-            Some((account.id.clone(), tolerance.apply(limits)))
-        });
-        self.quotas.configure(now, limits, new);
-    }
-
-    /// Charges a request to its account. Returns whether the account had enough left.
-    fn charge(&mut self, now: Timestamp, ask: &Ask) -> bool {
-        let Some(account) = &ask.account else {
-            return true;
-        };
-        let cost = ask.prompt + ask.max_output;
-        let (why, retry_after) = match self.quotas.take(now, account, cost) {
-            Ok(()) => {
-                let charge = Charge {
-                    account: account.clone(),
-                    cost,
-                    at: now,
-                };
-                self.charges.insert(ask.ticket.clone(), charge);
-                return true;
-            }
-            Err(OverQuota::Until(wait)) => (Unplaced::OverQuota, wait),
-            Err(OverQuota::Never) => (Unplaced::OverBurst, Duration::ZERO),
-        };
-        self.metrics.decided(why.word());
-        let message = ControlMessage::Unplaced {
-            number: ask.ticket.number,
-            why,
-            retry_after,
-        };
-        self.send(&ask.ticket.gateway, message);
-        false
-    }
-
-    fn give_back(&mut self, now: Timestamp, charge: &Charge) {
-        let Charge { account, cost, at } = charge;
-        self.quotas.give_back(now, *at, account, *cost);
-    }
-
-    fn view_endpoints(&self, now: Timestamp, service: &ServiceId) -> Vec<ViewEndpoint> {
-        let listed = self.list.endpoints.iter();
-        listed
-            .filter(|each| each.service == *service && each.state == EndpointState::Active)
-            .filter(|each| !self.out.contains(&each.data_centre))
-            .filter(|each| !self.changing.contains_key(&each.id))
-            .map(|each| ViewEndpoint {
-                id: each.id.clone(),
-                data_centre: each.data_centre.clone(),
-                role: each.role,
-                cold_until: now + each.cold_left,
-            })
-            .collect()
-    }
-
-    fn handle(&mut self, now: Timestamp, service: &ServiceId, event: Event) {
-        let silent_until = self.lead_since + HANDOVER_TIME;
-        let fleet = self
-            .fleets
-            .entry(service.clone())
-            .or_insert_with(|| Fleet::new(Settings::default(), silent_until));
-        let actions = fleet.handle(now, event);
-        self.carry_out(now, actions);
-    }
-
-    fn tell(&mut self, now: Timestamp, ticket: &Ticket, event: Event) {
-        if let Some(service) = self.services.get(ticket).cloned() {
-            self.handle(now, &service, event);
-        }
-    }
-
-    fn carry_out(&mut self, now: Timestamp, actions: Vec<Action>) {
-        for action in actions {
-            match action {
-                Action::Place { ticket, placement } => {
-                    self.metrics.decided("placed");
-                    let number = ticket.number;
-                    let message = ControlMessage::Placed { number, placement };
-                    self.send(&ticket.gateway, message);
-                }
-                Action::Refuse {
-                    ticket,
-                    why,
-                    retry_after,
-                } => {
-                    self.metrics.decided(why.word());
-                    self.services.remove(&ticket);
-                    if let Some(charge) = self.charges.remove(&ticket) {
-                        self.give_back(now, &charge);
-                    }
-                    let message = ControlMessage::Unplaced {
-                        number: ticket.number,
-                        why,
-                        retry_after,
-                    };
-                    self.send(&ticket.gateway, message);
-                }
-            }
-        }
-    }
-
-    /// Ends what a gateway no longer holds: it told so on a connection that broke.
-    fn reconcile(&mut self, now: Timestamp, gateway: &InstanceId, numbers: &[u64]) {
-        let known = self.services.iter();
-        let over: Vec<(Ticket, ServiceId)> = known
-            .filter(|(ticket, _)| ticket.gateway == *gateway)
-            .filter(|(ticket, _)| !numbers.contains(&ticket.number))
-            .map(|(ticket, service)| (ticket.clone(), service.clone()))
-            .collect();
-        for (ticket, service) in over {
-            info!("gateway={gateway} number={} state=over", ticket.number);
-            self.services.remove(&ticket);
-            self.charges.remove(&ticket);
-            let end = RunEnd::Broken;
-            self.handle(now, &service, Event::Ended { ticket, end });
-        }
-    }
-
-    fn forget_lost(&mut self, now: Timestamp) {
-        let lost = self.lost.iter().filter(|(_, at)| now >= **at);
-        let lost: Vec<InstanceId> = lost.map(|(gateway, _)| gateway.clone()).collect();
-        for gateway in lost {
-            info!("gateway={gateway} state=forgotten");
-            self.lost.remove(&gateway);
-            self.gateways.remove(&gateway);
-            self.services.retain(|ticket, _| ticket.gateway != gateway);
-            self.charges.retain(|ticket, _| ticket.gateway != gateway);
-            let services: Vec<ServiceId> = self.fleets.keys().cloned().collect();
-            for service in &services {
-                let gateway = gateway.clone();
-                self.handle(now, service, Event::GatewayLost { gateway });
-            }
-        }
-    }
-
-    fn send(&self, gateway: &InstanceId, message: ControlMessage) {
-        let sent = self
-            .gateways
-            .get(gateway)
-            .map(|known| known.outbox.try_send(message));
-        if !matches!(sent, Some(Ok(()))) {
-            warn!("gateway={gateway} message=dropped");
-        }
-    }
-}
--- a/crates/mimosa-entry/src/lib.rs
+++ b/crates/mimosa-entry/src/lib.rs
@@ -9,7 +9,6 @@
 mod attempt;
 mod body;
 mod call;
-mod clock;
 mod engine;
 mod filter;
 mod follow;
@@ -30,6 +29,6 @@
 mod suspects;
 mod table;
 
-pub use crate::clock::Clock;
 pub use crate::server::EntryServer;
 pub use crate::server::Running;
+pub use mimosa_transport::clock::Clock;
--- a/crates/mimosa-entry/src/metrics.rs
+++ b/crates/mimosa-entry/src/metrics.rs
@@ -19,7 +19,7 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
-use crate::clock::Clock;
+use mimosa_transport::clock::Clock;
 
 /// Most accounts that get a label of their own; the others are counted together.
 const MAX_ACCOUNT_LABELS: usize = 100;
--- a/crates/mimosa-entry/src/place.rs
+++ b/crates/mimosa-entry/src/place.rs
@@ -24,9 +24,9 @@
 use mimosa_schedule::Event;
 use mimosa_schedule::Submission;
 use mimosa_schedule::event::View;
+use mimosa_transport::clock::Clock;
 use tokio::sync::oneshot;
 
-use crate::clock::Clock;
 use crate::peers::message::QueueKey;
 use crate::peers::network::Network;
 
--- a/crates/mimosa-entry/src/place/queue.rs
+++ b/crates/mimosa-entry/src/place/queue.rs
@@ -18,6 +18,7 @@
 use mimosa_schedule::Submission;
 use mimosa_schedule::event::View;
 use mimosa_schedule::fence::GrantFence;
+use mimosa_transport::clock::Clock;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
@@ -26,7 +27,6 @@
 use super::desk::Desk;
 use super::inner::Inner;
 use super::takes_work;
-use crate::clock::Clock;
 use crate::peers::message::QueueKey;
 use crate::peers::network::Network;
 
--- a/crates/mimosa-entry/src/server.rs
+++ b/crates/mimosa-entry/src/server.rs
@@ -22,6 +22,7 @@
 use mimosa_protocol::Error;
 use mimosa_protocol::Incarnation;
 use mimosa_protocol::Result;
+use mimosa_transport::clock::Clock;
 use mimosa_transport::datagram::ClusterTag;
 use mimosa_transport::datagram::Socket;
 use tokio::net::TcpListener;
@@ -30,7 +31,6 @@
 use tokio::sync::Semaphore;
 use tokio::task::JoinHandle;
 
-use crate::clock::Clock;
 use crate::engine::http::HttpEngine;
 use crate::follow;
 use crate::follow::ControlLink;
--- a/crates/mimosa-entry/src/shared.rs
+++ b/crates/mimosa-entry/src/shared.rs
@@ -20,7 +20,6 @@
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::configuration::ClientAccount;
 
-use crate::clock::Clock;
 use crate::engine::Engine;
 use crate::follow::ControlLink;
 use crate::holds::Holds;
@@ -32,6 +31,7 @@
 use crate::retry::Budgets;
 use crate::suspects::Suspects;
 use crate::table::CurrentTable;
+use mimosa_transport::clock::Clock;
 
 /// What all requests of an entry share.
 pub(crate) struct Shared {
--- a/crates/mimosa-gateway/src/shared.rs
+++ b/crates/mimosa-gateway/src/shared.rs
@@ -7,13 +7,12 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
-use std::time::Instant;
-use std::time::SystemTime;
 
 use mimosa_hold::retry::RetryBudget;
 use mimosa_protocol::ServiceId;
 use mimosa_protocol::Timestamp;
 use mimosa_route::Repeat;
+use mimosa_transport::clock::Clock;
 
 use crate::dialect::Dialect;
 use crate::directory::Directory;
@@ -44,16 +43,12 @@
     /// Gateways that share what is allowed to all together.
     pub(crate) gateways: AtomicU32,
     retries: Mutex<HashMap<ServiceId, RetryBudget>>,
-    started: Instant,
-    base: Timestamp,
+    clock: Clock,
     random: AtomicU64,
 }
 
 impl Shared {
     pub(crate) fn new(settings: Settings, dialect: Arc<dyn Dialect>, directory: Directory) -> Self {
-        let since_epoch = SystemTime::now()
-            .duration_since(SystemTime::UNIX_EPOCH)
-            .unwrap_or_default();
         let mut seed = [0; 8];
         getrandom::fill(&mut seed).expect("the system gives random bytes");
         Self {
@@ -66,15 +61,13 @@
             drains_since: AtomicU64::new(0),
             gateways: AtomicU32::new(ASSUMED_GATEWAYS),
             retries: Mutex::default(),
-            started: Instant::now(),
-            base: Timestamp::ZERO + since_epoch,
+            clock: Clock::start(),
             random: AtomicU64::new(u64::from_le_bytes(seed)),
         }
     }
 
-    /// The present time: it starts at the time of day and never goes back.
     pub(crate) fn now(&self) -> Timestamp {
-        self.base + self.started.elapsed()
+        self.clock.now()
     }
 
     /// A number that spreads choices; it guards nothing.
--- a/crates/mimosa-schedule/src/fleet.rs
+++ b/crates/mimosa-schedule/src/fleet.rs
@@ -12,244 +12,39 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use mimosa_protocol::AccountId;
-use mimosa_protocol::DataCentreId;
 use mimosa_protocol::EndpointId;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::Timestamp;
-use mimosa_protocol::Tokens;
 use mimosa_protocol::configuration::EndpointRole;
-use mimosa_protocol::data;
 
 use crate::balance::Demand;
 use crate::balance::Pools;
 
 mod endpoint;
 mod forecast;
+mod message;
 mod pace;
+mod placing;
+mod settings;
 mod waiting;
 
+pub use self::message::Action;
+pub use self::message::Ask;
+pub use self::message::Event;
+pub use self::message::Held;
+pub use self::message::Placement;
+pub use self::message::RunEnd;
+pub use self::message::Ticket;
+pub use self::message::Unplaced;
+pub use self::settings::Settings;
+pub use self::settings::View;
+pub use self::settings::ViewEndpoint;
+
 use self::endpoint::FleetEndpoint;
 use self::forecast::Load;
 use self::pace::Pace;
 use self::waiting::Waiting;
 
-data! {
-    /// Names a request: the gateway that serves it and the gateway's own number.
-    #[derive(Hash, PartialOrd, Ord)]
-    pub struct Ticket {
-        /// The gateway.
-        pub gateway: InstanceId,
-        /// Its number for the request.
-        pub number: u64,
-    }
-
-    /// A request that wants to be placed.
-    pub struct Ask {
-        /// Names it.
-        pub ticket: Ticket,
-        /// Whom it runs for.
-        pub account: Option<AccountId>,
-        /// Prompt size.
-        pub prompt: Tokens,
-        /// Most output.
-        pub max_output: Tokens,
-        /// The caller's estimate of the output.
-        pub expected_output: Option<Tokens>,
-        /// Rank; 0 is the most urgent.
-        pub priority: u8,
-        /// Time until the first output is late.
-        pub target_left: Duration,
-        /// Time until the caller gives up without a first output.
-        pub patience_left: Duration,
-        /// Where the gateway stands.
-        pub data_centre: DataCentreId,
-        /// The endpoint that holds the KV cache already, after the decode failed elsewhere.
-        pub prefilled: Option<EndpointId>,
-    }
-
-    /// A request that runs already, told to a new scheduler.
-    pub struct Held {
-        /// The request as it was asked for.
-        pub ask: Ask,
-        /// Where it decodes.
-        pub decode: EndpointId,
-        /// How long it has decoded.
-        pub decoding_for: Duration,
-    }
-
-    /// How a run ended.
-    pub enum RunEnd {
-        /// Complete, with so much output.
-        Complete(Tokens),
-        /// The decode endpoint had no room and did not run it.
-        NoRoom,
-        /// An endpoint could not be reached or failed before the run started.
-        Unreachable(EndpointId),
-        /// It failed, or its caller left.
-        Broken,
-    }
-
-    /// Where a request runs.
-    pub struct Placement {
-        /// Where the prompt is processed; nothing if the decode endpoint does it.
-        pub prefill: Option<EndpointId>,
-        /// Where the output is generated.
-        pub decode: EndpointId,
-    }
-
-    /// Why a request is not placed.
-    #[derive(Copy)]
-    pub enum Unplaced {
-        /// No endpoint takes work.
-        NoEndpoint,
-        /// It would not start while its caller waits.
-        TooLate,
-        /// It is larger than any endpoint's memory.
-        TooLarge,
-        /// Its account has used up its quota for now.
-        OverQuota,
-        /// It costs more than the whole burst of its account.
-        OverBurst,
-    }
-}
-
-impl Unplaced {
-    /// The reason as a stable word.
-    pub const fn word(self) -> &'static str {
-        match self {
-            Self::NoEndpoint => "no_endpoint",
-            Self::TooLate => "too_late",
-            Self::TooLarge => "too_large",
-            Self::OverQuota => "over_quota",
-            Self::OverBurst => "over_burst",
-        }
-    }
-}
-
-/// What a fleet is told.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// The endpoints changed.
-    Configure(View),
-    /// A request wants to be placed.
-    Ask(Ask),
-    /// A request was placed by an earlier scheduler.
-    Held(Held),
-    /// The prompt of a request was processed, in so much time.
-    Prefilled {
-        /// The request.
-        ticket: Ticket,
-        /// How long the prefill endpoint took.
-        took: Duration,
-    },
-    /// The first output of a request arrived.
-    Started {
-        /// The request.
-        ticket: Ticket,
-    },
-    /// The run of a request ended, or its caller left the queue.
-    Ended {
-        /// The request.
-        ticket: Ticket,
-        /// How.
-        end: RunEnd,
-    },
-    /// A gateway is gone, and with it its connections to the endpoints.
-    GatewayLost {
-        /// The gateway.
-        gateway: InstanceId,
-    },
-    /// Time passed.
-    Tick,
-}
-
-/// What a fleet decides.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Run the request there, now.
-    Place {
-        /// The request.
-        ticket: Ticket,
-        /// Where.
-        placement: Placement,
-    },
-    /// End the request: it did not run.
-    Refuse {
-        /// The request.
-        ticket: Ticket,
-        /// Why.
-        why: Unplaced,
-        /// When room is expected.
-        retry_after: Duration,
-    },
-}
-
-/// The endpoints of the service.
-#[derive(Clone, Debug, Default)]
-pub struct View {
-    /// Memory of each decode endpoint.
-    pub memory: Tokens,
-    /// Requests that an endpoint runs at once.
-    pub slots: u32,
-    /// The endpoints that take work.
-    pub endpoints: Vec<ViewEndpoint>,
-}
-
-/// One endpoint.
-#[derive(Clone, Debug)]
-pub struct ViewEndpoint {
-    /// Its name.
-    pub id: EndpointId,
-    /// Where it stands.
-    pub data_centre: DataCentreId,
-    /// What it does.
-    pub role: EndpointRole,
-    /// Until when it bears few requests.
-    pub cold_until: Timestamp,
-}
-
-/// How a fleet decides.
-#[derive(Clone, Debug)]
-pub struct Settings {
-    /// Part of the memory, in thousandths, that a forecast may fill. The rest is for outputs that
-    /// get longer than estimated: the estimates are often off by half, their sum over a score of
-    /// requests by about a tenth.
-    pub fill_permille: u64,
-    /// How long before a prefill endpoint becomes free the next prompt is sent to it: the way from
-    /// here to the gateway and on.
-    pub prefill_lookahead: Duration,
-    /// Time from the end of a prefill to the first output.
-    pub first_output_time: Duration,
-    /// Part of the caller's patience, in thousandths, for which a request that missed its target may
-    /// go on waiting.
-    pub late_permille: u32,
-    /// Waiting requests that are weighed in one decision, so that one that fits nowhere does not
-    /// stop the others.
-    pub lookahead: usize,
-    /// Prompt tokens a second assumed before the first prefill was measured.
-    pub first_prefill_rate: u64,
-    /// Time for one output token assumed before the first was measured.
-    pub first_token_time: Duration,
-    /// How long an endpoint that had no room gets nothing.
-    pub no_room_pause: Duration,
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        Self {
-            fill_permille: 900,
-            prefill_lookahead: Duration::from_millis(10),
-            first_output_time: Duration::from_millis(60),
-            late_permille: 600,
-            lookahead: 16,
-            first_prefill_rate: 40_000,
-            first_token_time: Duration::from_micros(700),
-            no_room_pause: Duration::from_millis(300),
-        }
-    }
-}
-
 /// A request that was placed.
 #[derive(Clone, Debug)]
 struct Run {
@@ -572,111 +367,4 @@
         let time = ends.get(wanted).map(|end| end.since(now));
         time.unwrap_or_default().max(self.settings.no_room_pause)
     }
-
-    fn find(&self, now: Timestamp, waiting: &Waiting) -> Option<Placement> {
-        let ask = &waiting.ask;
-        if let Some(holder) = &ask.prefilled {
-            let load = Load {
-                prompt: ask.prompt,
-                output: self.pace.expected_output(ask),
-                max_output: ask.max_output,
-                from: now + self.settings.first_output_time,
-            };
-            let home = self
-                .endpoints
-                .get(holder)
-                .and_then(|each| each.data_centre.clone());
-            let decode = self.find_decode(now, &load, home.as_ref())?;
-            return Some(Placement {
-                prefill: None,
-                decode,
-            });
-        }
-        let prefill_time = self.pace.prefill_time(ask.prompt);
-        let prefills = self.endpoints.iter().filter(|(_, each)| each.prefills());
-        let has_prefill = prefills.clone().next().is_some();
-        let limit = now + self.settings.prefill_lookahead;
-        let prefill = prefills
-            .filter(|(_, each)| each.takes_work(now))
-            .map(|(id, each)| (id, each, each.free_at(now)))
-            .filter(|(.., free_at)| *free_at <= limit)
-            .min_by_key(|(_, each, free_at)| (!each.is_in(&ask.data_centre), *free_at));
-        if has_prefill && prefill.is_none() {
-            return None;
-        }
-        let starts = prefill
-            .as_ref()
-            .map_or(now, |(.., free_at)| (*free_at).max(now));
-        let from = starts + prefill_time + self.settings.first_output_time;
-        let load = Load {
-            prompt: ask.prompt,
-            output: self.pace.expected_output(ask),
-            max_output: ask.max_output,
-            from,
-        };
-        let home = prefill
-            .as_ref()
-            .and_then(|(_, each, _)| each.data_centre.clone());
-        let decode = self.find_decode(now, &load, home.as_ref())?;
-        Some(Placement {
-            prefill: prefill.map(|(id, ..)| id.clone()),
-            decode,
-        })
-    }
-
-    /// The decode endpoint with the most room of those that have enough, near the KV cache if it
-    /// makes little difference.
-    fn find_decode(
-        &self,
-        now: Timestamp,
-        load: &Load,
-        home: Option<&DataCentreId>,
-    ) -> Option<EndpointId> {
-        let memory = self.view.memory.0 * self.settings.fill_permille / 1_000;
-        let token_time = self.pace.token_time();
-        self.endpoints
-            .iter()
-            .filter(|(_, each)| each.decodes() && each.takes_work(now) && now >= each.full_until)
-            .filter(|(_, each)| each.loads.len() < self.view.slots as usize)
-            .filter_map(|(id, each)| {
-                let loads = each.loads.values();
-                let peak = forecast::peak_within(now, loads, load, token_time, memory)?;
-                let is_near = home.is_some_and(|home| each.is_in(home));
-                // Moves between data centres take twice as long and cost more.
-                let cost = if is_near { peak } else { peak + load.prompt.0 };
-                Some((cost, id))
-            })
-            .min()
-            .map(|(_, id)| id.clone())
-    }
-
-    fn place(&mut self, now: Timestamp, waiting: Waiting, placement: Placement) -> Action {
-        let ask = waiting.ask;
-        let ticket = ask.ticket.clone();
-        let prefill_time = self.pace.prefill_time(ask.prompt);
-        let expected = self.pace.expected_output(&ask);
-        let mut ready = now;
-        if let Some(prefill) = &placement.prefill
-            && let Some(endpoint) = self.endpoints.get_mut(prefill)
-        {
-            ready = endpoint.start_prefill(now, &ticket, prefill_time);
-        }
-        let load = Load {
-            prompt: ask.prompt,
-            output: expected,
-            max_output: ask.max_output,
-            from: ready + self.settings.first_output_time,
-        };
-        if let Some(endpoint) = self.endpoints.get_mut(&placement.decode) {
-            endpoint.loads.insert(ticket.clone(), load);
-            endpoint.count_cold(now);
-        }
-        let run = Run {
-            ask,
-            placement: placement.clone(),
-            load,
-        };
-        self.runs.insert(ticket.clone(), run);
-        Action::Place { ticket, placement }
-    }
 }
--- /dev/null
+++ b/crates/mimosa-schedule/src/fleet/message.rs
@@ -0,0 +1,163 @@
+//! What a fleet is told and what it decides.
+
+use std::time::Duration;
+
+use mimosa_protocol::AccountId;
+use mimosa_protocol::DataCentreId;
+use mimosa_protocol::EndpointId;
+use mimosa_protocol::InstanceId;
+use mimosa_protocol::Tokens;
+use mimosa_protocol::data;
+
+use super::settings::View;
+
+data! {
+    /// Names a request: the gateway that serves it and the gateway's own number.
+    #[derive(Hash, PartialOrd, Ord)]
+    pub struct Ticket {
+        /// The gateway.
+        pub gateway: InstanceId,
+        /// Its number for the request.
+        pub number: u64,
+    }
+
+    /// A request that wants to be placed.
+    pub struct Ask {
+        /// Names it.
+        pub ticket: Ticket,
+        /// Whom it runs for.
+        pub account: Option<AccountId>,
+        /// Prompt size.
+        pub prompt: Tokens,
+        /// Most output.
+        pub max_output: Tokens,
+        /// The caller's estimate of the output.
+        pub expected_output: Option<Tokens>,
+        /// Rank; 0 is the most urgent.
+        pub priority: u8,
+        /// Time until the first output is late.
+        pub target_left: Duration,
+        /// Time until the caller gives up without a first output.
+        pub patience_left: Duration,
+        /// Where the gateway stands.
+        pub data_centre: DataCentreId,
+        /// The endpoint that holds the KV cache already, after the decode failed elsewhere.
+        pub prefilled: Option<EndpointId>,
+    }
+
+    /// A request that runs already, told to a new scheduler.
+    pub struct Held {
+        /// The request as it was asked for.
+        pub ask: Ask,
+        /// Where it decodes.
+        pub decode: EndpointId,
+        /// How long it has decoded.
+        pub decoding_for: Duration,
+    }
+
+    /// How a run ended.
+    pub enum RunEnd {
+        /// Complete, with so much output.
+        Complete(Tokens),
+        /// The decode endpoint had no room and did not run it.
+        NoRoom,
+        /// An endpoint could not be reached or failed before the run started.
+        Unreachable(EndpointId),
+        /// It failed, or its caller left.
+        Broken,
+    }
+
+    /// Where a request runs.
+    pub struct Placement {
+        /// Where the prompt is processed; nothing if the decode endpoint does it.
+        pub prefill: Option<EndpointId>,
+        /// Where the output is generated.
+        pub decode: EndpointId,
+    }
+
+    /// Why a request is not placed.
+    #[derive(Copy)]
+    pub enum Unplaced {
+        /// No endpoint takes work.
+        NoEndpoint,
+        /// It would not start while its caller waits.
+        TooLate,
+        /// It is larger than any endpoint's memory.
+        TooLarge,
+        /// Its account has used up its quota for now.
+        OverQuota,
+        /// It costs more than the whole burst of its account.
+        OverBurst,
+    }
+}
+
+impl Unplaced {
+    /// The reason as a stable word.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::NoEndpoint => "no_endpoint",
+            Self::TooLate => "too_late",
+            Self::TooLarge => "too_large",
+            Self::OverQuota => "over_quota",
+            Self::OverBurst => "over_burst",
+        }
+    }
+}
+
+/// What a fleet is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The endpoints changed.
+    Configure(View),
+    /// A request wants to be placed.
+    Ask(Ask),
+    /// A request was placed by an earlier scheduler.
+    Held(Held),
+    /// The prompt of a request was processed, in so much time.
+    Prefilled {
+        /// The request.
+        ticket: Ticket,
+        /// How long the prefill endpoint took.
+        took: Duration,
+    },
+    /// The first output of a request arrived.
+    Started {
+        /// The request.
+        ticket: Ticket,
+    },
+    /// The run of a request ended, or its caller left the queue.
+    Ended {
+        /// The request.
+        ticket: Ticket,
+        /// How.
+        end: RunEnd,
+    },
+    /// A gateway is gone, and with it its connections to the endpoints.
+    GatewayLost {
+        /// The gateway.
+        gateway: InstanceId,
+    },
+    /// Time passed.
+    Tick,
+}
+
+/// What a fleet decides.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Run the request there, now.
+    Place {
+        /// The request.
+        ticket: Ticket,
+        /// Where.
+        placement: Placement,
+    },
+    /// End the request: it did not run.
+    Refuse {
+        /// The request.
+        ticket: Ticket,
+        /// Why.
+        why: Unplaced,
+        /// When room is expected.
+        retry_after: Duration,
+    },
+}
--- /dev/null
+++ b/crates/mimosa-schedule/src/fleet/placing.rs
@@ -0,0 +1,127 @@
+//! Finds the endpoints of a request.
+
+use mimosa_protocol::DataCentreId;
+use mimosa_protocol::EndpointId;
+use mimosa_protocol::Timestamp;
+
+use super::Fleet;
+use super::Run;
+use super::forecast;
+use super::forecast::Load;
+use super::message::Action;
+use super::message::Placement;
+use super::waiting::Waiting;
+
+impl Fleet {
+    pub(super) fn find(&self, now: Timestamp, waiting: &Waiting) -> Option<Placement> {
+        let ask = &waiting.ask;
+        if let Some(holder) = &ask.prefilled {
+            let load = Load {
+                prompt: ask.prompt,
+                output: self.pace.expected_output(ask),
+                max_output: ask.max_output,
+                from: now + self.settings.first_output_time,
+            };
+            let home = self
+                .endpoints
+                .get(holder)
+                .and_then(|each| each.data_centre.clone());
+            let decode = self.find_decode(now, &load, home.as_ref())?;
+            return Some(Placement {
+                prefill: None,
+                decode,
+            });
+        }
+        let prefill_time = self.pace.prefill_time(ask.prompt);
+        let prefills = self.endpoints.iter().filter(|(_, each)| each.prefills());
+        let has_prefill = prefills.clone().next().is_some();
+        let limit = now + self.settings.prefill_lookahead;
+        let prefill = prefills
+            .filter(|(_, each)| each.takes_work(now))
+            .map(|(id, each)| (id, each, each.free_at(now)))
+            .filter(|(.., free_at)| *free_at <= limit)
+            .min_by_key(|(_, each, free_at)| (!each.is_in(&ask.data_centre), *free_at));
+        if has_prefill && prefill.is_none() {
+            return None;
+        }
+        let starts = prefill
+            .as_ref()
+            .map_or(now, |(.., free_at)| (*free_at).max(now));
+        let from = starts + prefill_time + self.settings.first_output_time;
+        let load = Load {
+            prompt: ask.prompt,
+            output: self.pace.expected_output(ask),
+            max_output: ask.max_output,
+            from,
+        };
+        let home = prefill
+            .as_ref()
+            .and_then(|(_, each, _)| each.data_centre.clone());
+        let decode = self.find_decode(now, &load, home.as_ref())?;
+        Some(Placement {
+            prefill: prefill.map(|(id, ..)| id.clone()),
+            decode,
+        })
+    }
+
+    /// The decode endpoint with the most room of those that have enough, near the KV cache if it
+    /// makes little difference.
+    fn find_decode(
+        &self,
+        now: Timestamp,
+        load: &Load,
+        home: Option<&DataCentreId>,
+    ) -> Option<EndpointId> {
+        let memory = self.view.memory.0 * self.settings.fill_permille / 1_000;
+        let token_time = self.pace.token_time();
+        self.endpoints
+            .iter()
+            .filter(|(_, each)| each.decodes() && each.takes_work(now) && now >= each.full_until)
+            .filter(|(_, each)| each.loads.len() < self.view.slots as usize)
+            .filter_map(|(id, each)| {
+                let loads = each.loads.values();
+                let peak = forecast::peak_within(now, loads, load, token_time, memory)?;
+                let is_near = home.is_some_and(|home| each.is_in(home));
+                // Moves between data centres take twice as long and cost more.
+                let cost = if is_near { peak } else { peak + load.prompt.0 };
+                Some((cost, id))
+            })
+            .min()
+            .map(|(_, id)| id.clone())
+    }
+
+    pub(super) fn place(
+        &mut self,
+        now: Timestamp,
+        waiting: Waiting,
+        placement: Placement,
+    ) -> Action {
+        let ask = waiting.ask;
+        let ticket = ask.ticket.clone();
+        let prefill_time = self.pace.prefill_time(ask.prompt);
+        let expected = self.pace.expected_output(&ask);
+        let mut ready = now;
+        if let Some(prefill) = &placement.prefill
+            && let Some(endpoint) = self.endpoints.get_mut(prefill)
+        {
+            ready = endpoint.start_prefill(now, &ticket, prefill_time);
+        }
+        let load = Load {
+            prompt: ask.prompt,
+            output: expected,
+            max_output: ask.max_output,
+            from: ready + self.settings.first_output_time,
+        };
+        if let Some(endpoint) = self.endpoints.get_mut(&placement.decode) {
+            endpoint.loads.insert(ticket.clone(), load);
+            endpoint.count_cold(now);
+        }
+        let run = Run {
+            ask,
+            placement: placement.clone(),
+            load,
+        };
+        self.runs.insert(ticket.clone(), run);
+        Action::Place { ticket, placement }
+    }
+}
--- a/crates/mimosa-transport/src/lib.rs
+++ b/crates/mimosa-transport/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod accept;
 pub mod backoff;
+pub mod clock;
 pub mod datagram;
 pub mod frame;
 pub mod link;
