--- a/crates/mimosa-entry/src/metrics.rs
+++ b/crates/mimosa-entry/src/metrics.rs
@@ -11,6 +11,7 @@
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::Tokens;
 use mimosa_protocol::configuration::Service;
+use mimosa_transport::clock::Clock;
 use prometheus::Encoder;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
@@ -19,8 +20,6 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
-use mimosa_transport::clock::Clock;
-
 /// Most accounts that get a label of their own; the others are counted together.
 const MAX_ACCOUNT_LABELS: usize = 100;
 /// Label of the accounts that are counted together.
--- a/crates/mimosa-entry/src/shared.rs
+++ b/crates/mimosa-entry/src/shared.rs
@@ -19,6 +19,7 @@
 use mimosa_protocol::RequestId;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::configuration::ClientAccount;
+use mimosa_transport::clock::Clock;
 
 use crate::engine::Engine;
 use crate::follow::ControlLink;
@@ -31,7 +32,6 @@
 use crate::retry::Budgets;
 use crate::suspects::Suspects;
 use crate::table::CurrentTable;
-use mimosa_transport::clock::Clock;
 
 /// What all requests of an entry share.
 pub(crate) struct Shared {
