Refuse at once what would wait for decode memory until it is given up

Cause: a request that can be in time no longer waited for 60 percent of its caller's patience and was then refused, although the ends of the running requests told from the start that no room comes before. Change: while a prefill endpoint is free and nothing fits, each waiting request is held against the end that gives it room; what comes too late is refused with that time. One test expected the request to wait for room that comes after it is given up; it asks for the refusal and its time now.

--- a/crates/mimosa-schedule/src/fleet.rs
+++ b/crates/mimosa-schedule/src/fleet.rs
@@ -326,13 +326,45 @@
             let placed = (0..self.waiting.len().min(self.settings.lookahead))
                 .find_map(|place| Some((place, self.find(now, &self.waiting[place])?)));
             let Some((place, placement)) = placed else {
-                return;
+                return self.refuse_hopeless(now, actions);
             };
             let waiting = self.waiting.remove(place);
             actions.push(self.place(now, waiting, placement));
         }
     }
 
+    /// Refuses at once what would wait for decode memory until it is given up. Who waits gets room
+    /// when so many have ended as wait before it.
+    fn refuse_hopeless(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        if !self.waits_for_memory(now) {
+            return;
+        }
+        let rooms = self.ends(now);
+        let retry_after = self.time_to_room(now);
+        let mut place = 0;
+        self.waiting.retain(|each| {
+            let room = rooms.get(place).or(rooms.last());
+            let keeps = room.is_none_or(|room| *room <= each.given_up_at);
+            place += usize::from(keeps);
+            if !keeps {
+                actions.push(Action::Refuse {
+                    ticket: each.ask.ticket.clone(),
+                    why: Unplaced::TooLate,
+                    retry_after,
+                });
+            }
+            keeps
+        });
+    }
+
+    /// Whether requests wait although a prefill endpoint is free.
+    fn waits_for_memory(&self, now: Timestamp) -> bool {
+        let limit = now + self.settings.prefill_lookahead;
+        let mut prefills = self.endpoints.values().filter(|each| each.prefills());
+        let is_free = prefills.any(|each| each.takes_work(now) && each.free_at(now) <= limit);
+        is_free && !self.waiting.is_empty()
+    }
+
     /// Refuses what can no longer be served, and sorts what can no longer be in time behind the rest.
     fn give_up(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
         let retry_after = self.time_to_room(now);
@@ -355,14 +387,20 @@
         });
     }
 
-    /// When so many of the running requests are expected to have ended that those who wait have room
-    /// and one more.
-    fn time_to_room(&self, now: Timestamp) -> Duration {
+    /// When the running requests are expected to end, the first one first.
+    fn ends(&self, now: Timestamp) -> Vec<Timestamp> {
         let loads = self.endpoints.values().flat_map(|each| each.loads.values());
         let mut ends: Vec<_> = loads
             .map(|load| load.end(now, self.pace.token_time()))
             .collect();
         ends.sort_unstable();
+        ends
+    }
+
+    /// When so many of the running requests are expected to have ended that those who wait have room
+    /// and one more.
+    fn time_to_room(&self, now: Timestamp) -> Duration {
+        let ends = self.ends(now);
         let wanted = self.waiting.len().min(ends.len().saturating_sub(1));
         let time = ends.get(wanted).map(|end| end.since(now));
         time.unwrap_or_default().max(self.settings.no_room_pause)
--- a/crates/mimosa-schedule/tests/fleet.rs
+++ b/crates/mimosa-schedule/tests/fleet.rs
@@ -120,7 +120,41 @@
     }
     fleet.handle(START, Event::Configure(view()));
     let actions = fleet.handle(START, Event::Ask(ask(1_000, 5_000, 4_000)));
-    expect_that!(placed(&actions), eq(0));
+    // The first of them ends in 2.8 s, later than the request would wait.
+    let [
+        Action::Refuse {
+            why, retry_after, ..
+        },
+    ] = actions.as_slice()
+    else {
+        panic!("{actions:?}");
+    };
+    expect_that!(*why, eq(Unplaced::TooLate));
+    expect_that!(*retry_after, ge(Duration::from_millis(2_700)));
+    expect_that!(*retry_after, le(Duration::from_millis(2_900)));
+}
+
+/// What would wait for memory until it is given up is told at once; what has room in time waits.
+#[gtest]
+fn a_hopeless_request_is_refused_at_once() {
+    let mut fleet = fleet();
+    let mut number = 0;
+    for decode in view().endpoints.into_iter().map(|each| each.id) {
+        for _ in 0..11 {
+            number += 1;
+            let held = Held {
+                ask: ask(number, 5_000, 4_000),
+                decode: decode.clone(),
+                // One of them ends in half a second.
+                decoding_for: Duration::from_millis(if number == 50 { 2_300 } else { 0 }),
+            };
+            fleet.handle(START, Event::Held(held));
+        }
+    }
+    let first = fleet.handle(START, Event::Ask(ask(1_000, 5_000, 4_000)));
+    expect_that!(first, is_empty());
+    let second = fleet.handle(START, Event::Ask(ask(1_001, 5_000, 4_000)));
+    expect_that!(second, len(eq(1)));
     expect_that!(fleet.waiting(), eq(1));
 }
 
