--- a/crates/mimosa-gateway/src/plain.rs
+++ b/crates/mimosa-gateway/src/plain.rs
@@ -24,6 +24,9 @@
 /// Latency targets after which an idempotent request is tried elsewhere.
 const PATIENCE_IN_TARGETS: u32 = 2;
 
+/// Endpoints that are tried for one request, those that cannot be reached included.
+const MAX_ENDPOINTS: usize = 4;
+
 /// Sends a request to endpoints until one answers or no more may be tried.
 pub(crate) async fn serve(
     shared: &Arc<Shared>,
@@ -34,7 +37,9 @@
     let most = request.route.max_attempts.max(1);
     let mut tried: Vec<Arc<EndpointEntry>> = Vec::new();
     let mut last = Last::Nothing;
-    for attempt in 1..=most {
+    // What could not be sent reached no endpoint and counts as no attempt.
+    let mut attempts = 0;
+    while attempts < most && tried.len() < MAX_ENDPOINTS {
         let now = shared.now();
         if now >= request.deadline {
             break;
@@ -45,7 +50,7 @@
         else {
             break;
         };
-        if attempt > 1 && !shared.take_retry(now, &request.service) {
+        if attempts > 0 && !shared.take_retry(now, &request.service) {
             info!(
                 "request={} step=retry outcome=refused reason=\"no retry budget\"",
                 request.facts.attempt
@@ -53,15 +58,17 @@
             break;
         }
         tried.push(Arc::clone(&endpoint));
-        let limit = attempt_time(request, now, repeats && attempt < most);
+        let limit = attempt_time(request, now, repeats && attempts + 1 < most);
         match one(shared, request, whole, &endpoint, limit).await {
             Ok(response) if repeats && response.status().is_server_error() => {
+                attempts += 1;
                 last = Last::Answer(response);
             }
             Ok(response) => return Ok(response),
             Err(failure) => {
+                attempts += u32::from(failure != CallFailure::NotSent);
                 info!(
-                    "request={} step=call outcome={failure:?} endpoint={} attempt={attempt}",
+                    "request={} step=call outcome={failure:?} endpoint={} attempt={attempts}",
                     request.facts.attempt, endpoint.listed.id
                 );
                 last.replace(failure);
@@ -102,7 +109,11 @@
                 reason: "no endpoint",
                 retry_after: BUSY_RETRY,
             }),
-            Self::Failed(CallFailure::NotSent | CallFailure::NotRun) => Err(Failure::NotRun {
+            Self::Failed(CallFailure::NotSent) => Err(Failure::NotRun {
+                reason: "an endpoint cannot be reached",
+                retry_after: BUSY_RETRY,
+            }),
+            Self::Failed(CallFailure::NotRun) => Err(Failure::NotRun {
                 reason: "the endpoints have no room",
                 retry_after: BUSY_RETRY,
             }),
