Build a fleet's loads and refusals in one place, use the shared accept loop, drop what nobody reads

Found on reading the change again; behaviour stays as it is. - The memory of a request was put together in four places and the refusal of a waiting one in two; free prefill endpoints were looked for twice. Each has one function now. - The dispatcher made its schedulers in two places. - Readiness and metrics had accept loops of their own beside mimosa_transport::accept::run. - Gateways counted prompt tokens that nothing read. - The buckets of all accounts were set up again at each heartbeat of each control instance, and at the leader at each change of the list: only a new document or another number of gateways changes them. - Two commands loaded their settings by the same lines.

--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -315,13 +315,13 @@
             }
             inner.out = out;
             inner.routing = Some(changed);
+            let new = match takes_over {
+                true => self.tolerance.successor_level(),
+                false => NewLevel::Full,
+            };
+            inner.configure_quotas(now, self.tolerance, new);
         }
         inner.list = list;
-        let new = match takes_over {
-            true => self.tolerance.successor_level(),
-            false => NewLevel::Full,
-        };
-        inner.configure_quotas(now, self.tolerance, new);
         inner.configure_fleets(now);
     }
 
--- a/crates/mimosa-control/src/routing/dispatch/inner.rs
+++ b/crates/mimosa-control/src/routing/dispatch/inner.rs
@@ -93,7 +93,6 @@
             // This leader has not read the list yet.
             return;
         }
-        let silent_until = self.lead_since + HANDOVER_TIME;
         let services = self.table.configuration().services.iter();
         let views: Vec<(ServiceId, View)> = services
             .filter_map(|service| {
@@ -107,12 +106,7 @@
             })
             .collect();
         for (service, view) in views {
-            let fleet = self
-                .fleets
-                .entry(service.clone())
-                .or_insert_with(|| Fleet::new(Settings::default(), silent_until));
-            let actions = fleet.handle(now, Event::Configure(view));
-            self.carry_out(now, actions);
+            self.handle(now, &service, Event::Configure(view));
         }
     }
 
--- a/crates/mimosa-gateway/src/directory.rs
+++ b/crates/mimosa-gateway/src/directory.rs
@@ -7,7 +7,6 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
@@ -18,7 +17,6 @@
 use mimosa_protocol::EndpointId;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::Timestamp;
-use mimosa_protocol::Tokens;
 use mimosa_protocol::configuration::EndpointState;
 use mimosa_route::DocumentFormat;
 use mimosa_route::DocumentVersion;
@@ -62,8 +60,6 @@
     pub(crate) pool: Pool,
     /// Requests of this gateway that it has in hand.
     pub(crate) in_hand: AtomicU32,
-    /// Their prompt tokens that are still to be prefilled.
-    pub(crate) prompt_tokens: AtomicU64,
     pub(crate) health: Mutex<Health>,
     told: Mutex<Option<(Timestamp, ToldLoad)>>,
 }
@@ -83,30 +79,18 @@
 }
 
 /// Counts a request in hand at an endpoint until dropped.
-pub(crate) struct InHand {
-    endpoint: Arc<EndpointEntry>,
-    prompt: Tokens,
-}
+pub(crate) struct InHand(Arc<EndpointEntry>);
 
 impl InHand {
-    pub(crate) fn new(endpoint: &Arc<EndpointEntry>, prompt: Tokens) -> Self {
+    pub(crate) fn new(endpoint: &Arc<EndpointEntry>) -> Self {
         endpoint.in_hand.fetch_add(1, Ordering::Relaxed);
-        endpoint
-            .prompt_tokens
-            .fetch_add(prompt.0, Ordering::Relaxed);
-        Self {
-            endpoint: Arc::clone(endpoint),
-            prompt,
-        }
+        Self(Arc::clone(endpoint))
     }
 }
 
 impl Drop for InHand {
     fn drop(&mut self) {
-        self.endpoint.in_hand.fetch_sub(1, Ordering::Relaxed);
-        self.endpoint
-            .prompt_tokens
-            .fetch_sub(self.prompt.0, Ordering::Relaxed);
+        self.0.in_hand.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -271,7 +255,6 @@
             cold_until: now + listed.cold_left,
             pool: goes_on.map_or_else(|| Pool::new(listed.address), |held| held.pool.clone()),
             in_hand: AtomicU32::new(0),
-            prompt_tokens: AtomicU64::new(0),
             health: Mutex::new(goes_on.map_or_else(Health::default, |held| held.health().clone())),
             told: Mutex::new(goes_on.and_then(Self::told_load)),
         }
--- a/crates/mimosa-gateway/src/purse.rs
+++ b/crates/mimosa-gateway/src/purse.rs
@@ -18,6 +18,7 @@
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::TokenRate;
 use mimosa_protocol::Tokens;
+use mimosa_route::DocumentVersion;
 use mimosa_route::RouteTable;
 use tokio::sync::Notify;
 
@@ -47,6 +48,8 @@
     not_lending: HashSet<AccountId>,
     /// Used while no leader answers.
     alone: Quotas,
+    /// The document and the number of gateways that `alone` comes from.
+    configured: Option<(DocumentVersion, u32)>,
 }
 
 #[derive(Default)]
@@ -144,6 +147,12 @@
 
     /// Adopts the quotas, of which this gateway's even share is one of so many.
     pub(crate) fn configure(&self, now: Timestamp, table: &RouteTable, gateways: u32) {
+        let mut inner = self.lock();
+        let version = table.configuration().version;
+        if inner.configured == Some((version, gateways)) {
+            return;
+        }
+        inner.configured = Some((version, gateways));
         let gateways = u64::from(gateways.max(1));
         let accounts = table.configuration().accounts.iter();
         let limits = accounts.filter_map(|account| {
@@ -154,7 +163,7 @@
             };
             Some((account.id.clone(), limits))
         });
-        self.lock().alone.configure(now, limits, NewLevel::Full);
+        inner.alone.configure(now, limits, NewLevel::Full);
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/crates/mimosa-gateway/src/server.rs
+++ b/crates/mimosa-gateway/src/server.rs
@@ -18,10 +18,10 @@
 use log::info;
 use log::warn;
 use mimosa_metrics::MetricsServer;
-use mimosa_protocol::Error;
 use mimosa_protocol::Result;
 use mimosa_route::CallerLimits;
 use mimosa_route::DocumentFormat;
+use mimosa_transport::accept;
 use mimosa_transport::socket;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -62,14 +62,14 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Network`] if an address cannot be bound.
+    /// [`mimosa_protocol::Error::Network`] if an address cannot be bound.
     pub async fn start(
         settings: Settings,
         dialect: Arc<dyn Dialect>,
         format: Arc<dyn DocumentFormat>,
     ) -> Result<Running> {
-        let (listener, address) = bind(settings.listen).await?;
-        let (asked, readiness) = bind(settings.readiness).await?;
+        let (listener, address) = accept::bind(settings.listen).await?;
+        let (asked, readiness) = accept::bind(settings.readiness).await?;
         let shared = Arc::new(Shared::new(settings, dialect, Directory::new(format)));
         info!(
             "event=start role=gateway instance={} callers={address} readiness={readiness}",
@@ -85,7 +85,11 @@
             let metrics = MetricsServer::bind(address, registry).await?;
             background.push(tokio::spawn(metrics.run()));
         }
-        let accepting = tokio::spawn(accept(listener, Arc::clone(&shared), Arc::clone(&stop)));
+        let accepting = tokio::spawn(accept_callers(
+            listener,
+            Arc::clone(&shared),
+            Arc::clone(&stop),
+        ));
         Ok(Running {
             address,
             readiness,
@@ -130,18 +134,7 @@
     }
 }
 
-async fn bind(address: SocketAddr) -> Result<(TcpListener, SocketAddr)> {
-    let cannot_listen = |source| Error::Network {
-        action: "listen on",
-        peer: address.to_string(),
-        source,
-    };
-    let listener = TcpListener::bind(address).await.map_err(cannot_listen)?;
-    let address = listener.local_addr().map_err(cannot_listen)?;
-    Ok((listener, address))
-}
-
-async fn accept(listener: TcpListener, shared: Arc<Shared>, stop: Arc<Notify>) {
+async fn accept_callers(listener: TcpListener, shared: Arc<Shared>, stop: Arc<Notify>) {
     let graceful = GracefulShutdown::new();
     loop {
         let accepted = tokio::select! {
@@ -219,25 +212,23 @@
 }
 
 async fn answer_readiness(listener: TcpListener, shared: Arc<Shared>) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let shared = Arc::clone(&shared);
-        let service = service_fn(move |request| {
-            let response = readiness(&shared, &request);
-            async move { Ok::<_, Infallible>(response) }
-        });
-        tokio::spawn(async move {
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(READINESS_HEAD_TIME)
-                .serve_connection(TokioIo::new(stream), service);
-            if let Err(e) = connection.await {
-                debug!("a connection for readiness ended: {e}");
-            }
-        });
+    accept::run(listener, "the platform", |stream| {
+        converse_about_readiness(stream, Arc::clone(&shared))
+    })
+    .await;
+}
+
+async fn converse_about_readiness(stream: TcpStream, shared: Arc<Shared>) {
+    let service = service_fn(move |request| {
+        let response = readiness(&shared, &request);
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(READINESS_HEAD_TIME)
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(e) = connection.await {
+        debug!("a connection for readiness ended: {e}");
     }
 }
 
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -15,7 +15,6 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use mimosa_protocol::Timestamp;
-use mimosa_protocol::Tokens;
 use mimosa_protocol::configuration::EndpointRole;
 use mimosa_schedule::pick::Candidate;
 use mimosa_schedule::pick::pick;
@@ -166,11 +165,7 @@
     limit: Duration,
 ) -> Result<Opened, CallFailure> {
     let now = shared.now();
-    let prompt = match step {
-        Step::Prefill => request.facts.prompt.unwrap_or(Tokens(0)),
-        _ => Tokens(0),
-    };
-    let in_hand = InHand::new(endpoint, prompt);
+    let in_hand = InHand::new(endpoint);
     let service = request.table.service(&request.service);
     let most = service.map_or(MIN_CONNECTIONS, |service| {
         (service.max_connections / CONNECTION_SHARE).max(MIN_CONNECTIONS)
--- a/crates/mimosa-metrics/src/lib.rs
+++ b/crates/mimosa-metrics/src/lib.rs
@@ -16,17 +16,15 @@
 use hyper_util::rt::TokioTimer;
 use log::debug;
 use log::warn;
-use mimosa_protocol::Error;
 use mimosa_protocol::Result;
+use mimosa_transport::accept;
 use prometheus::Registry;
 use prometheus::TextEncoder;
 use tokio::net::TcpListener;
-use tokio::time::sleep;
+use tokio::net::TcpStream;
 
 /// Time to send the head of a request.
 const HEAD_TIME: Duration = Duration::from_secs(5);
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Upper bounds of the buckets of every latency, in seconds: from a hop inside a region to the
 /// longest wait of a caller.
@@ -47,46 +45,31 @@
     ///
     /// [`Error::Network`] if it cannot be bound.
     pub async fn bind(address: SocketAddr, registry: Registry) -> Result<Self> {
-        let bound = TcpListener::bind(address).await;
-        let listener = bound.map_err(|source| Error::Network {
-            action: "listen on",
-            peer: address.to_string(),
-            source,
-        })?;
+        let (listener, _) = accept::bind(address).await?;
         Ok(Self { listener, registry })
     }
 
-    /// The address.
-    ///
-    /// # Errors
-    ///
-    /// If the socket is gone.
-    pub fn address(&self) -> std::io::Result<SocketAddr> {
-        self.listener.local_addr()
-    }
-
     /// Answers until the task is aborted.
     pub async fn run(self) {
-        loop {
-            let Ok((stream, _)) = self.listener.accept().await else {
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            };
-            let registry = self.registry.clone();
-            let service = service_fn(move |_| {
-                let response = render(&registry);
-                async move { Ok::<_, Infallible>(response) }
-            });
-            tokio::spawn(async move {
-                let connection = http1::Builder::new()
-                    .timer(TokioTimer::new())
-                    .header_read_timeout(HEAD_TIME)
-                    .serve_connection(TokioIo::new(stream), service);
-                if let Err(e) = connection.await {
-                    debug!("a connection for metrics ended: {e}");
-                }
-            });
-        }
+        let registry = self.registry;
+        accept::run(self.listener, "metrics", |stream| {
+            converse(stream, registry.clone())
+        })
+        .await;
+    }
+}
+
+async fn converse(stream: TcpStream, registry: Registry) {
+    let service = service_fn(move |_| {
+        let response = render(&registry);
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIME)
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(e) = connection.await {
+        debug!("a connection for metrics ended: {e}");
     }
 }
 
--- a/crates/mimosa-schedule/src/fleet.rs
+++ b/crates/mimosa-schedule/src/fleet.rs
@@ -201,7 +201,6 @@
     }
 
     fn ask(&mut self, now: Timestamp, ask: Ask, actions: &mut Vec<Action>) {
-        let size = ask.prompt + ask.max_output;
         let ticket = ask.ticket.clone();
         if self.is_configured && !self.endpoints.values().any(FleetEndpoint::decodes) {
             return actions.push(Action::Refuse {
@@ -210,7 +209,7 @@
                 retry_after: self.settings.no_room_pause,
             });
         }
-        if self.is_configured && size > self.view.memory && ask.prompt > self.view.memory {
+        if self.is_configured && ask.prompt > self.view.memory {
             return actions.push(Action::Refuse {
                 ticket,
                 why: Unplaced::TooLarge,
@@ -229,13 +228,7 @@
         if self.runs.contains_key(&ticket) {
             return;
         }
-        let expected = self.pace.expected_output(&held.ask);
-        let load = Load {
-            prompt: held.ask.prompt,
-            output: expected,
-            max_output: held.ask.max_output,
-            from: now.before(held.decoding_for),
-        };
+        let load = self.pace.load(&held.ask, now.before(held.decoding_for));
         if let Some(endpoint) = self.endpoints.get_mut(&held.decode) {
             endpoint.loads.insert(ticket.clone(), load);
         }
@@ -342,27 +335,37 @@
         let rooms = self.ends(now);
         let retry_after = self.time_to_room(now);
         let mut place = 0;
-        self.waiting.retain(|each| {
+        self.keep_waiting(actions, retry_after, |each| {
             let room = rooms.get(place).or(rooms.last());
             let keeps = room.is_none_or(|room| *room <= each.given_up_at);
             place += usize::from(keeps);
-            if !keeps {
+            keeps
+        });
+    }
+
+    /// Refuses the waiting requests that are not kept.
+    fn keep_waiting(
+        &mut self,
+        actions: &mut Vec<Action>,
+        retry_after: Duration,
+        mut keeps: impl FnMut(&Waiting) -> bool,
+    ) {
+        self.waiting.retain(|each| {
+            let kept = keeps(each);
+            if !kept {
                 actions.push(Action::Refuse {
                     ticket: each.ask.ticket.clone(),
                     why: Unplaced::TooLate,
                     retry_after,
                 });
             }
-            keeps
+            kept
         });
     }
 
     /// Whether requests wait although a prefill endpoint is free.
     fn waits_for_memory(&self, now: Timestamp) -> bool {
-        let limit = now + self.settings.prefill_lookahead;
-        let mut prefills = self.endpoints.values().filter(|each| each.prefills());
-        let is_free = prefills.any(|each| each.takes_work(now) && each.free_at(now) <= limit);
-        is_free && !self.waiting.is_empty()
+        !self.waiting.is_empty() && self.free_prefills(now).next().is_some()
     }
 
     /// Refuses what can no longer be served, and sorts what can no longer be in time behind the rest.
@@ -374,17 +377,7 @@
             each.is_late = now + needs > each.target;
         }
         self.waiting.sort_by_key(Waiting::order);
-        self.waiting.retain(|each| {
-            let keeps = now < each.given_up_at;
-            if !keeps {
-                actions.push(Action::Refuse {
-                    ticket: each.ask.ticket.clone(),
-                    why: Unplaced::TooLate,
-                    retry_after,
-                });
-            }
-            keeps
-        });
+        self.keep_waiting(actions, retry_after, |each| now < each.given_up_at);
     }
 
     /// When the running requests are expected to end, the first one first.
--- a/crates/mimosa-schedule/src/fleet/pace.rs
+++ b/crates/mimosa-schedule/src/fleet/pace.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use mimosa_protocol::Timestamp;
 use mimosa_protocol::Tokens;
 
 use super::Ask;
+use super::forecast::Load;
 use super::forecast::times;
 use crate::balance::Demand;
 
@@ -64,7 +66,17 @@
         Duration::from_nanos(self.token_nanos)
     }
 
-    pub(super) fn expected_output(&self, ask: &Ask) -> Tokens {
+    /// The memory of a request whose first output comes at a moment.
+    pub(super) fn load(&self, ask: &Ask, from: Timestamp) -> Load {
+        Load {
+            prompt: ask.prompt,
+            output: self.expected_output(ask),
+            max_output: ask.max_output,
+            from,
+        }
+    }
+
+    fn expected_output(&self, ask: &Ask) -> Tokens {
         let estimate = match ask.expected_output {
             Some(estimate) => estimate.0 * self.output_permille / WHOLE,
             None => ask.max_output.0 * self.max_permille / WHOLE,
--- a/crates/mimosa-schedule/src/fleet/placing.rs
+++ b/crates/mimosa-schedule/src/fleet/placing.rs
@@ -6,6 +6,7 @@
 
 use super::Fleet;
 use super::Run;
+use super::endpoint::FleetEndpoint;
 use super::forecast;
 use super::forecast::Load;
 use super::message::Action;
@@ -16,12 +17,8 @@
     pub(super) fn find(&self, now: Timestamp, waiting: &Waiting) -> Option<Placement> {
         let ask = &waiting.ask;
         if let Some(holder) = &ask.prefilled {
-            let load = Load {
-                prompt: ask.prompt,
-                output: self.pace.expected_output(ask),
-                max_output: ask.max_output,
-                from: now + self.settings.first_output_time,
-            };
+            let from = now + self.settings.first_output_time;
+            let load = self.pace.load(ask, from);
             let home = self
                 .endpoints
                 .get(holder)
@@ -33,13 +30,9 @@
             });
         }
         let prefill_time = self.pace.prefill_time(ask.prompt);
-        let prefills = self.endpoints.iter().filter(|(_, each)| each.prefills());
-        let has_prefill = prefills.clone().next().is_some();
-        let limit = now + self.settings.prefill_lookahead;
-        let prefill = prefills
-            .filter(|(_, each)| each.takes_work(now))
-            .map(|(id, each)| (id, each, each.free_at(now)))
-            .filter(|(.., free_at)| *free_at <= limit)
+        let has_prefill = self.endpoints.values().any(FleetEndpoint::prefills);
+        let prefill = self
+            .free_prefills(now)
             .min_by_key(|(_, each, free_at)| (!each.is_in(&ask.data_centre), *free_at));
         if has_prefill && prefill.is_none() {
             return None;
@@ -48,12 +41,7 @@
             .as_ref()
             .map_or(now, |(.., free_at)| (*free_at).max(now));
         let from = starts + prefill_time + self.settings.first_output_time;
-        let load = Load {
-            prompt: ask.prompt,
-            output: self.pace.expected_output(ask),
-            max_output: ask.max_output,
-            from,
-        };
+        let load = self.pace.load(ask, from);
         let home = prefill
             .as_ref()
             .and_then(|(_, each, _)| each.data_centre.clone());
@@ -64,6 +52,19 @@
         })
     }
 
+    /// The prefill endpoints that take a prompt now, with the time when each is free.
+    pub(super) fn free_prefills(
+        &self,
+        now: Timestamp,
+    ) -> impl Iterator<Item = (&EndpointId, &FleetEndpoint, Timestamp)> {
+        let limit = now + self.settings.prefill_lookahead;
+        self.endpoints
+            .iter()
+            .filter(move |(_, each)| each.prefills() && each.takes_work(now))
+            .map(move |(id, each)| (id, each, each.free_at(now)))
+            .filter(move |(.., free_at)| *free_at <= limit)
+    }
+
     /// The decode endpoint with the most room of those that have enough, near the KV cache if it
     /// makes little difference.
     fn find_decode(
@@ -99,19 +100,14 @@
         let ask = waiting.ask;
         let ticket = ask.ticket.clone();
         let prefill_time = self.pace.prefill_time(ask.prompt);
-        let expected = self.pace.expected_output(&ask);
         let mut ready = now;
         if let Some(prefill) = &placement.prefill
             && let Some(endpoint) = self.endpoints.get_mut(prefill)
         {
             ready = endpoint.start_prefill(now, &ticket, prefill_time);
         }
-        let load = Load {
-            prompt: ask.prompt,
-            output: expected,
-            max_output: ask.max_output,
-            from: ready + self.settings.first_output_time,
-        };
+        let from = ready + self.settings.first_output_time;
+        let load = self.pace.load(&ask, from);
         if let Some(endpoint) = self.endpoints.get_mut(&placement.decode) {
             endpoint.loads.insert(ticket.clone(), load);
             endpoint.count_cold(now);
--- a/crates/mimosa-schedule/src/fleet/waiting.rs
+++ b/crates/mimosa-schedule/src/fleet/waiting.rs
@@ -36,7 +36,8 @@
         }
     }
 
-    /// What can be in time goes first, then what holds a KV cache that soon lapses, then the more urgent, then the earlier target.
+    /// What can be in time goes first, then what holds a KV cache that soon lapses, then the more
+    /// urgent, then the earlier target.
     pub(super) const fn order(&self) -> (bool, bool, u8, Timestamp) {
         let has_no_cache = self.ask.prefilled.is_none();
         (self.is_late, has_no_cache, self.ask.priority, self.target)
--- a/src/command.rs
+++ b/src/command.rs
@@ -1,12 +1,16 @@
 //! The commands, one a file.
 
+use std::path::Path;
 use std::process::ExitCode;
 
 use lexopt::Arg;
 use lexopt::Parser;
 use lexopt::ValueExt;
+use mimosa_config::Settings;
 use mimosa_protocol::Error;
 
+use crate::logging;
+
 mod check;
 mod control;
 mod demo;
@@ -132,6 +136,17 @@
     }
 }
 
+/// The settings in the file that a command names, with logging started as they say; `None` if the
+/// command was asked for its help and printed it.
+fn settings_to_run(command: &Command, args: &mut Parser) -> miette::Result<Option<Settings>> {
+    let Some(file) = one_word(command, args)? else {
+        return Ok(None);
+    };
+    let settings = Settings::load(Path::new(&file))?;
+    logging::start(&settings.log)?;
+    Ok(Some(settings))
+}
+
 /// The one word that a command takes, or `None` if it was asked for its help and printed it.
 fn one_word(command: &Command, args: &mut Parser) -> Result<Option<String>, Error> {
     let mut word = None;
--- a/src/command/entry.rs
+++ b/src/command/entry.rs
@@ -1,6 +1,5 @@
 //! `entry`: serves callers.
 
-use std::path::Path;
 use std::process::ExitCode;
 
 use lexopt::Parser;
@@ -8,9 +7,8 @@
 use mimosa_entry::EntryServer;
 
 use super::Command;
-use super::one_word;
+use super::settings_to_run;
 use super::usage;
-use crate::logging;
 use crate::runtime;
 
 /// The command.
@@ -24,12 +22,10 @@
 };
 
 fn run(mut args: Parser) -> miette::Result<ExitCode> {
-    let Some(file) = one_word(&COMMAND, &mut args)? else {
-        return Ok(ExitCode::SUCCESS);
-    };
-    let settings = Settings::load(Path::new(&file))?;
-    logging::start(&settings.log)?;
-    runtime::run(serve(settings))
+    match settings_to_run(&COMMAND, &mut args)? {
+        Some(settings) => runtime::run(serve(settings)),
+        None => Ok(ExitCode::SUCCESS),
+    }
 }
 
 async fn serve(settings: Settings) -> miette::Result<ExitCode> {
--- a/src/command/gateway.rs
+++ b/src/command/gateway.rs
@@ -1,6 +1,5 @@
 //! `gateway`: serves callers by routes, in front of discovered endpoints.
 
-use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -11,9 +10,8 @@
 use mimosa_platform::PlatformHeaders;
 
 use super::Command;
-use super::one_word;
+use super::settings_to_run;
 use super::usage;
-use crate::logging;
 use crate::runtime;
 use crate::settings;
 
@@ -28,12 +26,10 @@
 };
 
 fn run(mut args: Parser) -> miette::Result<ExitCode> {
-    let Some(file) = one_word(&COMMAND, &mut args)? else {
-        return Ok(ExitCode::SUCCESS);
-    };
-    let settings = Settings::load(Path::new(&file))?;
-    logging::start(&settings.log)?;
-    runtime::run_on(settings.runtime, serve(settings))
+    match settings_to_run(&COMMAND, &mut args)? {
+        Some(settings) => runtime::run_on(settings.runtime, serve(settings)),
+        None => Ok(ExitCode::SUCCESS),
+    }
 }
 
 async fn serve(settings: Settings) -> miette::Result<ExitCode> {
