Reserve the addresses of control instances in the session tests

The test now holds a bound socket that does not listen, with address reuse: the instance can still listen there, and the system gives the port to nobody who asks for any free one.

Ruled out: ports named by hand (two runs at once would meet) and retries of the bind (they hide a real clash).

--- a/tests/session/main.rs
+++ b/tests/session/main.rs
@@ -1,6 +1,7 @@
 //! The whole path as separate processes on loopback: one control instance, two entries in different
 //! data centres, stand-in engines and a stand-in plain service.
 
+mod addresses;
 mod caller;
 mod failures;
 mod payouts;
--- a/tests/session/setup.rs
+++ b/tests/session/setup.rs
@@ -1,10 +1,12 @@
 //! Settings files and processes of a system under test.
 
 use std::fs;
-use std::net::TcpListener;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
 use std::process::Command;
 
 use tempfile::TempDir;
+use tokio::net::TcpSocket;
 
 use crate::caller::Call;
 use crate::process::Process;
@@ -38,10 +40,28 @@
     (value("key="), value("key_digest="))
 }
 
-/// An address that was free a moment ago, for processes that must know each other's beforehand.
-pub fn free_address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound address").to_string()
+/// An address on loopback that nobody else is given while this lives, for processes that must know
+/// each other's addresses beforehand.
+///
+/// The socket is bound but does not listen: the process that is told the address can still listen
+/// there, as both allow reuse, while the system gives the port to no one who asks for any free one.
+pub struct ReservedAddress {
+    _socket: TcpSocket,
+    pub address: String,
+}
+
+impl ReservedAddress {
+    pub fn new() -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_reuseaddr(true).expect("a fresh socket");
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        socket.bind(any).expect("a free port");
+        let address = socket.local_addr().expect("a bound address").to_string();
+        Self {
+            _socket: socket,
+            address,
+        }
+    }
 }
 
 pub fn start_control(folder: &TempDir, digest: &str, number: usize, peers: &[String]) -> Process {
--- a/tests/session/system.rs
+++ b/tests/session/system.rs
@@ -14,7 +14,7 @@
 use crate::caller::Call;
 use crate::process::Process;
 use crate::process::binary;
-use crate::setup::free_address;
+use crate::setup::ReservedAddress;
 use crate::setup::new_operator_key;
 use crate::setup::start_control;
 use crate::setup::start_entry;
@@ -34,6 +34,7 @@
 /// A whole system.
 pub struct System {
     _folder: TempDir,
+    _reserved: Vec<ReservedAddress>,
     operator_key: String,
     caller_key: String,
     controls: Vec<Process>,
@@ -56,7 +57,8 @@
     pub async fn start_with(replicas: usize, names: &[(&'static str, &'static str)]) -> Self {
         let folder = TempDir::new().expect("a temporary folder");
         let (operator_key, digest) = new_operator_key();
-        let peers: Vec<_> = (0..replicas).map(|_| free_address()).collect();
+        let reserved: Vec<_> = (0..replicas).map(|_| ReservedAddress::new()).collect();
+        let peers: Vec<_> = reserved.iter().map(|each| each.address.clone()).collect();
         let mut controls = Vec::new();
         let mut admins = Vec::new();
         let mut entries_addresses = Vec::new();
@@ -96,6 +98,7 @@
         }
         let mut system = Self {
             _folder: folder,
+            _reserved: reserved,
             operator_key,
             caller_key: String::new(),
             controls,
