Take changed settings files while gateways and control instances run

A daemon looks at its file each second and on SIGHUP. Gateways take seeds, drain time, silence of control and retries anew; control instances take seeds and quota tolerances. Other changes are logged as needing a restart; a file with faults changes nothing and each fault is logged; a file that cannot be read is reported once.

Ruled out: watching the file by the system's notifications, which are not available everywhere it runs.

--- a/crates/mimosa-config/src/control.rs
+++ b/crates/mimosa-config/src/control.rs
@@ -167,6 +167,23 @@
 }
 
 impl ControlSettings {
+    /// The same settings with the defaults for what a running control instance takes anew.
+    pub(crate) fn without_reloadable(&self) -> Self {
+        let routing = self.routing.as_ref().map(|routing| {
+            let default = ControlRouting::default();
+            ControlRouting {
+                seeds: default.seeds,
+                quota_overage: default.quota_overage,
+                quota_slack: default.quota_slack,
+                ..routing.clone()
+            }
+        });
+        Self {
+            routing,
+            ..self.clone()
+        }
+    }
+
     pub(crate) fn read(mut reader: Reader<'_, '_>, faults: &mut Faults) -> Option<Self> {
         let default = Self::default();
         let data_folder = reader.required("data_folder", faults);
--- a/crates/mimosa-config/src/gateway.rs
+++ b/crates/mimosa-config/src/gateway.rs
@@ -51,6 +51,19 @@
 }
 
 impl GatewaySettings {
+    /// The same settings with the defaults for what a running gateway takes anew.
+    pub(crate) fn without_reloadable(&self) -> Self {
+        let default = Self::default();
+        Self {
+            seeds: default.seeds,
+            drain_time: default.drain_time,
+            control_silence: default.control_silence,
+            retry_ratio: default.retry_ratio,
+            retry_slack: default.retry_slack,
+            ..self.clone()
+        }
+    }
+
     pub(crate) fn read(mut reader: Reader<'_, '_>, faults: &mut Faults) -> Self {
         let default = Self::default();
         let seeds = reader.list::<SeedAddress>("seeds", faults);
--- a/crates/mimosa-config/src/settings.rs
+++ b/crates/mimosa-config/src/settings.rs
@@ -65,6 +65,22 @@
             }),
         }
     }
+
+    /// Whether a process with these settings can take some changes only by a restart.
+    pub fn needs_restart_for(&self, new: &Self) -> bool {
+        self.without_reloadable() != new.without_reloadable()
+    }
+
+    /// The same settings with the defaults for everything that a running process takes anew.
+    fn without_reloadable(&self) -> Self {
+        let control = self.control.as_ref();
+        let gateway = self.gateway.as_ref();
+        Self {
+            control: control.map(ControlSettings::without_reloadable),
+            gateway: gateway.map(GatewaySettings::without_reloadable),
+            ..self.clone()
+        }
+    }
 }
 
 fn read(text: &str, faults: &mut Faults) -> Option<Settings> {
--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -58,7 +58,6 @@
     shared: Arc<Shared>,
     format: Arc<dyn DocumentFormat>,
     endpoints: watch::Receiver<Arc<EndpointList>>,
-    tolerance: Tolerance,
     metrics: Metrics,
     started: std::time::Instant,
     changed: Notify,
@@ -80,11 +79,11 @@
             shared,
             format,
             endpoints,
-            tolerance,
             started: std::time::Instant::now(),
             changed: Notify::new(),
             inner: Mutex::new(Inner {
                 metrics: metrics.clone(),
+                tolerance,
                 ..Inner::default()
             }),
             metrics,
@@ -169,6 +168,16 @@
         inner.configure_fleets(now);
     }
 
+    /// Lets the accounts go further, or less far, beyond their quotas.
+    pub fn set_tolerance(&self, tolerance: Tolerance) {
+        let now = self.now();
+        let mut inner = self.lock();
+        if inner.tolerance != tolerance {
+            inner.tolerance = tolerance;
+            inner.configure_quotas(now, NewLevel::Full);
+        }
+    }
+
     /// How many gateways are connected.
     pub fn gateways(&self) -> u32 {
         u32::try_from(self.lock().gateways.len()).unwrap_or(u32::MAX)
@@ -316,10 +325,10 @@
             inner.out = out;
             inner.routing = Some(changed);
             let new = match takes_over {
-                true => self.tolerance.successor_level(),
+                true => inner.tolerance.successor_level(),
                 false => NewLevel::Full,
             };
-            inner.configure_quotas(now, self.tolerance, new);
+            inner.configure_quotas(now, new);
         }
         inner.list = list;
         inner.configure_fleets(now);
--- a/crates/mimosa-control/src/routing/dispatch/inner.rs
+++ b/crates/mimosa-control/src/routing/dispatch/inner.rs
@@ -58,6 +58,8 @@
     pub(super) lost: HashMap<InstanceId, Timestamp>,
     pub(super) table: RouteTable,
     pub(super) quotas: Quotas,
+    /// How far accounts may go beyond their quotas.
+    pub(super) tolerance: Tolerance,
     /// What each placed or waiting request was charged, and when.
     pub(super) charges: HashMap<Ticket, Charge>,
     pub(super) list: Arc<EndpointList>,
@@ -123,7 +125,8 @@
         }
     }
 
-    pub(super) fn configure_quotas(&mut self, now: Timestamp, tolerance: Tolerance, new: NewLevel) {
+    pub(super) fn configure_quotas(&mut self, now: Timestamp, new: NewLevel) {
+        let tolerance = self.tolerance;
         let accounts = self.table.configuration().accounts.iter();
         let limits = accounts.filter_map(|account| {
             let quota = account.quota?;
--- a/crates/mimosa-control/src/server.rs
+++ b/crates/mimosa-control/src/server.rs
@@ -45,6 +45,7 @@
 use crate::routing::gateway_port::GatewayPort;
 use crate::routing::listing;
 use crate::routing::metrics::Metrics;
+use crate::settings::Reloadable;
 use crate::settings::Settings;
 use crate::shared::Shared;
 
@@ -70,6 +71,9 @@
 pub struct Running {
     addresses: Addresses,
     replicator: Arc<dyn Replicator>,
+    /// Takes the names of control instances, where they find each other.
+    discovered: Option<mpsc::UnboundedSender<InstanceId>>,
+    dispatcher: Option<Arc<Dispatcher>>,
     stop: watch::Sender<bool>,
     admin_task: JoinHandle<()>,
     tasks: JoinSet<()>,
@@ -80,6 +84,8 @@
     settings: Arc<Settings>,
     shared: Arc<Shared>,
     in_force: Arc<InForce>,
+    discovered: Option<mpsc::UnboundedSender<InstanceId>>,
+    dispatcher: Option<Arc<Dispatcher>>,
     tasks: JoinSet<()>,
 }
 
@@ -160,6 +166,8 @@
             settings: Arc::new(self.settings),
             shared: Arc::new(Shared::new(Machine::default())),
             in_force: Arc::new(InForce::default()),
+            discovered: None,
+            dispatcher: None,
             tasks: JoinSet::new(),
         };
         let opened = assembly.open_folder().await?;
@@ -187,6 +195,8 @@
         Ok(Running {
             addresses: self.addresses,
             replicator,
+            discovered: assembly.discovered,
+            dispatcher: assembly.dispatcher,
             stop,
             admin_task: tokio::spawn(admin),
             tasks: assembly.tasks,
@@ -219,7 +229,7 @@
         let consensus = consensus_settings(settings, random_seed());
         let shared = Arc::clone(&self.shared);
         let core = CoreHandle::start(opened, consensus, shared, Arc::clone(&outbound))?;
-        let discovered = settings.discovery.clone().map(|discovery| {
+        self.discovered = settings.discovery.clone().map(|discovery| {
             let (tx, heard) = mpsc::unbounded_channel();
             let search = Search {
                 own: settings.instance.clone(),
@@ -233,7 +243,7 @@
             tx
         });
         let inbound = Inbound {
-            discovered,
+            discovered: self.discovered.clone(),
             cluster: settings.cluster.clone(),
             peers: Arc::new(peers),
             core: core.sender(),
@@ -302,6 +312,7 @@
             self.settings.quota_tolerance,
             metrics,
         ));
+        self.dispatcher = Some(Arc::clone(&dispatcher));
         self.tasks.spawn(Arc::clone(&dispatcher).run());
         let balancer = Balancer {
             own: self.settings.instance.clone(),
@@ -353,6 +364,19 @@
         self.addresses.peer
     }
 
+    /// Takes the settings that may change anew.
+    pub fn reload(&self, reloadable: &Reloadable) {
+        if let Some(discovered) = &self.discovered {
+            for seed in &reloadable.seeds {
+                // The search ends only with this instance.
+                discovered.send(seed.clone()).ok();
+            }
+        }
+        if let Some(dispatcher) = &self.dispatcher {
+            dispatcher.set_tolerance(reloadable.quota_tolerance);
+        }
+    }
+
     /// Lets operators' requests in hand finish, hands the leadership on, then stops.
     pub async fn shutdown(mut self) {
         self.stop.send_replace(true);
--- a/crates/mimosa-control/src/settings.rs
+++ b/crates/mimosa-control/src/settings.rs
@@ -74,6 +74,15 @@
     pub forget_entry_after: Duration,
 }
 
+/// The settings that a running control instance of gateways takes anew.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Reloadable {
+    /// Instances that may know the others.
+    pub seeds: BTreeSet<InstanceId>,
+    /// How far accounts of gateways may go beyond their quotas.
+    pub quota_tolerance: Tolerance,
+}
+
 /// How control instances find each other when they are named by their IP addresses.
 #[derive(Clone, Debug, Default)]
 pub struct Discovery {
--- a/crates/mimosa-gateway/src/control_link.rs
+++ b/crates/mimosa-gateway/src/control_link.rs
@@ -27,17 +27,17 @@
     let (tx, mut heard) = mpsc::unbounded_channel();
     let mut followed = BTreeSet::new();
     let mut tasks = JoinSet::new();
-    let seeds = shared.settings.seeds.iter().cloned();
-    let mut news: Vec<InstanceId> = seeds.collect();
+    let seeds = || shared.reloadable().seeds.iter().cloned().collect();
+    let mut news: Vec<InstanceId> = seeds();
     loop {
         for instance in news.drain(..) {
             if followed.insert(instance.clone()) {
                 tasks.spawn(follow(Arc::clone(&shared), instance, tx.clone()));
             }
         }
-        match heard.recv().await {
-            Some(members) => news = members,
-            None => return,
+        tokio::select! {
+            Some(members) = heard.recv() => news = members,
+            () = shared.reloaded.notified() => news = seeds(),
         }
     }
 }
@@ -59,7 +59,7 @@
     loop {
         let mut link = Link::open(address, settings.clone());
         let mut outbox = None;
-        let silence = shared.settings.control_silence;
+        let silence = shared.reloadable().control_silence;
         while let Ok(event) = timeout(silence, link.next()).await {
             match event {
                 Event::Connected(tx) => {
--- a/crates/mimosa-gateway/src/server.rs
+++ b/crates/mimosa-gateway/src/server.rs
@@ -36,6 +36,7 @@
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::serve;
+use crate::settings::Reloadable;
 use crate::settings::Settings;
 use crate::shared::Shared;
 
@@ -117,6 +118,11 @@
         self.shared.dispatch.has_leader()
     }
 
+    /// Takes the settings that may change anew.
+    pub fn reload(&self, reloadable: Reloadable) {
+        self.shared.reload(reloadable);
+    }
+
     /// Is not ready any more, lets work in hand finish within the drain time, and stops.
     pub async fn shutdown(self) {
         info!(
@@ -158,7 +164,7 @@
 /// this instance is not ready: they are served too, one request each.
 async fn drain(listener: TcpListener, shared: &Arc<Shared>, graceful: GracefulShutdown) {
     let late = GracefulShutdown::new();
-    let finished = timeout(shared.settings.drain_time, graceful.shutdown());
+    let finished = timeout(shared.reloadable().drain_time, graceful.shutdown());
     tokio::pin!(finished);
     loop {
         tokio::select! {
@@ -175,7 +181,7 @@
             }
         }
     }
-    if timeout(shared.settings.drain_time, late.shutdown())
+    if timeout(shared.reloadable().drain_time, late.shutdown())
         .await
         .is_err()
     {
--- a/crates/mimosa-gateway/src/settings.rs
+++ b/crates/mimosa-gateway/src/settings.rs
@@ -23,10 +23,17 @@
     pub readiness: SocketAddr,
     /// Where metrics are served, if anywhere.
     pub metrics: Option<SocketAddr>,
-    /// Control instances that are known at the start, named by their IP addresses.
-    pub seeds: BTreeSet<InstanceId>,
     /// The port at which control instances listen to gateways.
     pub control_port: u16,
+    /// What may change while the gateway runs.
+    pub reloadable: Reloadable,
+}
+
+/// The settings that a running gateway takes anew.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reloadable {
+    /// Control instances that may know the others, named by their IP addresses.
+    pub seeds: BTreeSet<InstanceId>,
     /// Silence after which a control instance counts as lost.
     pub control_silence: Duration,
     /// Time that work in hand may take after a shutdown was asked.
@@ -36,7 +43,7 @@
 }
 
 /// The retries that a service may get, all gateways together.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Retries {
     /// Thousandths of a retry that each request allows.
     pub permille: u64,
@@ -44,6 +51,17 @@
     pub slack: u64,
 }
 
+impl Default for Reloadable {
+    fn default() -> Self {
+        Self {
+            seeds: BTreeSet::new(),
+            control_silence: Duration::from_secs(3),
+            drain_time: Duration::from_secs(7),
+            retries: Retries::default(),
+        }
+    }
+}
+
 impl Default for Retries {
     fn default() -> Self {
         Self {
--- a/crates/mimosa-gateway/src/shared.rs
+++ b/crates/mimosa-gateway/src/shared.rs
@@ -8,17 +8,20 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use arc_swap::ArcSwap;
 use mimosa_hold::retry::RetryBudget;
 use mimosa_protocol::ServiceId;
 use mimosa_protocol::Timestamp;
 use mimosa_route::Repeat;
 use mimosa_transport::clock::Clock;
+use tokio::sync::Notify;
 
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::dispatch::Dispatch;
 use crate::metrics::Metrics;
 use crate::purse::Purse;
+use crate::settings::Reloadable;
 use crate::settings::Settings;
 
 /// Part of the drain time, in thousandths, in which new streams are still taken: the platform needs
@@ -33,6 +36,9 @@
 /// What all requests share.
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
+    reloadable: ArcSwap<Reloadable>,
+    /// Wakes whoever follows the settings that may change.
+    pub(crate) reloaded: Notify,
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) directory: Directory,
     pub(crate) dispatch: Arc<Dispatch>,
@@ -52,6 +58,8 @@
         let mut seed = [0; 8];
         getrandom::fill(&mut seed).expect("the system gives random bytes");
         Self {
+            reloadable: ArcSwap::from_pointee(settings.reloadable.clone()),
+            reloaded: Notify::new(),
             settings,
             dialect,
             directory,
@@ -66,6 +74,17 @@
         }
     }
 
+    /// The settings that may change.
+    pub(crate) fn reloadable(&self) -> Arc<Reloadable> {
+        self.reloadable.load_full()
+    }
+
+    /// Takes the settings that may change anew.
+    pub(crate) fn reload(&self, reloadable: Reloadable) {
+        self.reloadable.store(Arc::new(reloadable));
+        self.reloaded.notify_one();
+    }
+
     pub(crate) fn now(&self) -> Timestamp {
         self.clock.now()
     }
@@ -101,7 +120,7 @@
         } else {
             PLAIN_DRAIN_PART
         };
-        now.since(since) > self.settings.drain_time * part / 1_000
+        now.since(since) > self.reloadable().drain_time * part / 1_000
     }
 
     /// Counts a request for a service: it earns a part of a retry.
@@ -122,7 +141,7 @@
     ) -> T {
         let mut budgets = self.retries.lock().unwrap_or_else(PoisonError::into_inner);
         let gateways = self.gateways.load(Ordering::Relaxed);
-        let settings = self.settings.retries.share(gateways);
+        let settings = self.reloadable().retries.share(gateways);
         let budget = budgets
             .entry(service.clone())
             .or_insert_with(|| RetryBudget::new(now, settings));
--- a/src/command.rs
+++ b/src/command.rs
@@ -10,6 +10,7 @@
 use mimosa_protocol::Error;
 
 use crate::logging;
+use crate::reload::SettingsFile;
 
 mod check;
 mod control;
@@ -147,6 +148,16 @@
     Ok(Some(settings))
 }
 
+/// The same for a daemon that follows its file while it runs.
+fn followed_settings(command: &Command, args: &mut Parser) -> miette::Result<Option<SettingsFile>> {
+    let Some(file) = one_word(command, args)? else {
+        return Ok(None);
+    };
+    let file = SettingsFile::load(Path::new(&file))?;
+    logging::start(&file.settings().log)?;
+    Ok(Some(file))
+}
+
 /// The one word that a command takes, or `None` if it was asked for its help and printed it.
 fn one_word(command: &Command, args: &mut Parser) -> Result<Option<String>, Error> {
     let mut word = None;
--- a/src/command/control.rs
+++ b/src/command/control.rs
@@ -20,6 +20,7 @@
 use super::Command;
 use super::usage;
 use crate::logging;
+use crate::reload::SettingsFile;
 use crate::runtime;
 use crate::settings;
 
@@ -28,7 +29,8 @@
     name: "control",
     description: "Runs a control instance, which keeps the state that must survive",
     usage: "[--found] FILE",
-    details: "FILE holds the settings. SIGTERM and SIGINT end the instance.\n  \
+    details: "FILE holds the settings. SIGTERM and SIGINT end the instance. Changes of seeds and quota\n  \
+              tolerances in FILE are taken while it runs, at once on SIGHUP.\n  \
               --found  found a new system of several replicas: once, on its first instance\n\n",
     examples: &[
         "control --found examples/kembang-tekan/control.toml",
@@ -41,9 +43,9 @@
     let Some((file, found)) = read(&mut args)? else {
         return Ok(ExitCode::SUCCESS);
     };
-    let settings = Settings::load(Path::new(&file))?;
-    logging::start(&settings.log)?;
-    runtime::run_on(settings.runtime, serve(settings, found))
+    let file = SettingsFile::load(Path::new(&file))?;
+    logging::start(&file.settings().log)?;
+    runtime::run_on(file.settings().runtime, serve(file, found))
 }
 
 /// The settings file and whether to found a system, or `None` if the help was printed.
@@ -68,12 +70,13 @@
     Ok(Some((file, found)))
 }
 
-async fn serve(settings: Settings, found: bool) -> miette::Result<ExitCode> {
-    let control = settings
-        .control
-        .ok_or_else(|| usage(COMMAND.name, "the file has no [control]"))?;
+async fn serve(file: SettingsFile, found: bool) -> miette::Result<ExitCode> {
+    let Settings {
+        instance, control, ..
+    } = file.settings().clone();
+    let control = control.ok_or_else(|| usage(COMMAND.name, "the file has no [control]"))?;
     let outside = control.routing.as_ref().map(outside);
-    let mut control = settings::control(&settings.instance, control);
+    let mut control = settings::control(&instance, control);
     control.found |= found;
     let running = match outside {
         Some(outside) => {
@@ -85,7 +88,12 @@
     println!("admin={}", running.admin_address());
     println!("entries={}", running.entry_address());
     println!("peers={}", running.peer_address());
-    runtime::stop_signal_or_reload(|| log::info!("event=reload")).await?;
+    file.follow(|settings| {
+        if let Some(control) = &settings.control {
+            running.reload(&settings::control_reloadable(control));
+        }
+    })
+    .await?;
     running.shutdown().await;
     Ok(ExitCode::SUCCESS)
 }
--- a/src/command/gateway.rs
+++ b/src/command/gateway.rs
@@ -10,8 +10,9 @@
 use mimosa_platform::PlatformHeaders;
 
 use super::Command;
-use super::settings_to_run;
+use super::followed_settings;
 use super::usage;
+use crate::reload::SettingsFile;
 use crate::runtime;
 use crate::settings;
 
@@ -20,27 +21,34 @@
     name: "gateway",
     description: "Runs a gateway instance, which serves callers by routes",
     usage: "FILE",
-    details: "FILE holds the settings. SIGTERM and SIGINT drain the instance and end it.\n\n",
+    details: "FILE holds the settings. SIGTERM and SIGINT drain the instance and end it. Changes of seeds,\n  \
+              drain_time, control_silence and retries in FILE are taken while it runs, at once on SIGHUP.\n\n",
     examples: &["gateway examples/routing/gateway.toml"],
     run,
 };
 
 fn run(mut args: Parser) -> miette::Result<ExitCode> {
-    match settings_to_run(&COMMAND, &mut args)? {
-        Some(settings) => runtime::run_on(settings.runtime, serve(settings)),
+    match followed_settings(&COMMAND, &mut args)? {
+        Some(file) => runtime::run_on(file.settings().runtime, serve(file)),
         None => Ok(ExitCode::SUCCESS),
     }
 }
 
-async fn serve(settings: Settings) -> miette::Result<ExitCode> {
-    let gateway = settings
-        .gateway
-        .ok_or_else(|| usage(COMMAND.name, "the file has no [gateway]"))?;
-    let gateway = settings::gateway(&settings.instance, gateway);
+async fn serve(file: SettingsFile) -> miette::Result<ExitCode> {
+    let Settings {
+        instance, gateway, ..
+    } = file.settings().clone();
+    let gateway = gateway.ok_or_else(|| usage(COMMAND.name, "the file has no [gateway]"))?;
+    let gateway = settings::gateway(&instance, gateway);
     let dialect = Arc::new(PlatformHeaders);
     let running = Gateway::start(gateway, dialect, Arc::new(PlatformDocument)).await?;
     println!("callers={}", running.address());
-    runtime::stop_signal_or_reload(|| log::info!("event=reload")).await?;
+    file.follow(|settings| {
+        if let Some(gateway) = &settings.gateway {
+            running.reload(settings::gateway_reloadable(gateway));
+        }
+    })
+    .await?;
     running.shutdown().await;
     Ok(ExitCode::SUCCESS)
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,7 @@
 
 mod command;
 mod logging;
+mod reload;
 mod runtime;
 mod settings;
 
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -40,23 +40,6 @@
         .block_on(daemon)
 }
 
-/// Waits for SIGINT or SIGTERM. SIGHUP runs `reload` and goes on.
-///
-/// # Errors
-///
-/// If the signals cannot be watched.
-pub async fn stop_signal_or_reload(mut reload: impl FnMut()) -> miette::Result<()> {
-    let mut hangup = signal(SignalKind::hangup()).into_diagnostic()?;
-    let stopped = stop_signal();
-    tokio::pin!(stopped);
-    loop {
-        tokio::select! {
-            result = &mut stopped => return result,
-            _ = hangup.recv() => reload(),
-        }
-    }
-}
-
 /// Waits for SIGINT or SIGTERM.
 ///
 /// # Errors
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,6 +4,7 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
+use mimosa_config::ControlRouting;
 use mimosa_config::ControlSettings;
 use mimosa_config::GatewaySettings;
 use mimosa_config::InstanceSettings;
@@ -51,10 +52,7 @@
             replace_after: REPLACE_AFTER,
             forget_after: FORGET_AFTER,
         }),
-        quota_tolerance: Tolerance {
-            permille: routing.quota_overage.0,
-            slack: routing.quota_slack,
-        },
+        quota_tolerance: tolerance(&routing),
         election_timeout: if has_seeds {
             routing.election_timeout
         } else {
@@ -69,6 +67,15 @@
     }
 }
 
+/// What a running control instance is told anew.
+pub fn control_reloadable(settings: &ControlSettings) -> mimosa_control::settings::Reloadable {
+    let routing = settings.routing.clone().unwrap_or_default();
+    mimosa_control::settings::Reloadable {
+        seeds: instances(&routing.seeds).collect(),
+        quota_tolerance: tolerance(&routing),
+    }
+}
+
 /// What a gateway is told.
 pub fn gateway(instance: &InstanceSettings, settings: GatewaySettings) -> mimosa_gateway::Settings {
     mimosa_gateway::Settings {
@@ -78,8 +85,15 @@
         listen: settings.listen,
         readiness: settings.readiness,
         metrics: settings.metrics,
-        seeds: instances(&settings.seeds).collect(),
         control_port: settings.control_port,
+        reloadable: gateway_reloadable(&settings),
+    }
+}
+
+/// What a running gateway is told anew.
+pub fn gateway_reloadable(settings: &GatewaySettings) -> mimosa_gateway::settings::Reloadable {
+    mimosa_gateway::settings::Reloadable {
+        seeds: instances(&settings.seeds).collect(),
         control_silence: settings.control_silence,
         drain_time: settings.drain_time,
         retries: Retries {
@@ -89,6 +103,13 @@
     }
 }
 
+const fn tolerance(routing: &ControlRouting) -> Tolerance {
+    Tolerance {
+        permille: routing.quota_overage.0,
+        slack: routing.quota_slack,
+    }
+}
+
 /// Instances that are named by their IP addresses.
 fn instances(addresses: &[IpAddr]) -> impl Iterator<Item = InstanceId> {
     let names = addresses.iter().map(ToString::to_string);
--- a/tests/session/main.rs
+++ b/tests/session/main.rs
@@ -6,6 +6,7 @@
 mod failures;
 mod payouts;
 mod process;
+mod reload;
 mod setup;
 mod system;
 mod transcript;
