--- a/crates/mimosa-config/src/control.rs
+++ b/crates/mimosa-config/src/control.rs
@@ -14,6 +14,7 @@
 
 use crate::reader::Faults;
 use crate::reader::Reader;
+use crate::value::CallRate;
 use crate::value::Ratio;
 use crate::value::parse_digest;
 
@@ -55,6 +56,8 @@
     pub found: bool,
     /// Where the list of endpoints is read.
     pub endpoint_list: SocketAddr,
+    /// Calls a second that the list takes from all instances together.
+    pub list_call_rate: CallRate,
     /// Time between two reads of the list.
     pub list_interval: Duration,
     /// Control instances that may be lost at once: there are twice as many voters and one more.
@@ -81,6 +84,7 @@
             metrics: reader.optional("metrics", faults),
             found: reader.or("found", default.found, faults),
             endpoint_list: reader.or("endpoint_list", default.endpoint_list, faults),
+            list_call_rate: reader.or("list_call_rate", default.list_call_rate, faults),
             list_interval: reader.duration("list_interval", default.list_interval, faults),
             tolerated_losses: reader.or("tolerated_losses", default.tolerated_losses, faults),
             election_timeout: reader.duration("election_timeout", default.election_timeout, faults),
@@ -104,6 +108,7 @@
             seeds: Vec::new(),
             found: false,
             endpoint_list: SocketAddr::from((Ipv4Addr::LOCALHOST, 8361)),
+            list_call_rate: CallRate::default(),
             // An endpoint that leaves must get no new work a few seconds after the list shows it.
             list_interval: Duration::from_secs(1),
             tolerated_losses: 1,
--- a/crates/mimosa-config/src/lib.rs
+++ b/crates/mimosa-config/src/lib.rs
@@ -25,5 +25,6 @@
 pub use crate::logging::LogSettings;
 pub use crate::runtime::RuntimeSettings;
 pub use crate::settings::Settings;
+pub use crate::value::CallRate;
 pub use crate::value::DurationText;
 pub use crate::value::Ratio;
--- a/crates/mimosa-config/src/value.rs
+++ b/crates/mimosa-config/src/value.rs
@@ -65,6 +65,22 @@
     }
 }
 
+/// Calls a second, such as `40` or `2.5`. Zero means that no rate is known.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallRate {
+    /// Calls in a thousand seconds.
+    pub per_kilosecond: u64,
+}
+
+impl FromStr for CallRate {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let Ratio(per_kilosecond) = text.parse().map_err(|_| "a rate is a number such as 40")?;
+        Ok(Self { per_kilosecond })
+    }
+}
+
 /// Parses a SHA-256 digest of 64 hexadecimal digits.
 pub(crate) fn parse_digest(text: &str) -> Result<Sha, &'static str> {
     const HELP: &str = "a digest has 64 hexadecimal digits";
--- a/crates/mimosa-control/src/routing/dispatch/inner.rs
+++ b/crates/mimosa-control/src/routing/dispatch/inner.rs
@@ -24,6 +24,7 @@
 use mimosa_protocol::configuration::EndpointState;
 use mimosa_route::RouteTable;
 use mimosa_route::message::ControlMessage;
+use mimosa_schedule::cold::Turn;
 use mimosa_schedule::fleet::Action;
 use mimosa_schedule::fleet::Ask;
 use mimosa_schedule::fleet::Event;
@@ -105,6 +106,7 @@
                 let view = View {
                     memory: engine.memory,
                     slots: engine.slots,
+                    cold_turn: Turn::of_one(service.cold_start.per_kilosecond),
                     endpoints: self.view_endpoints(now, &service.id),
                 };
                 Some((service.id.clone(), view))
--- a/crates/mimosa-control/src/routing/gateway_port.rs
+++ b/crates/mimosa-control/src/routing/gateway_port.rs
@@ -5,6 +5,7 @@
 
 use log::info;
 use log::warn;
+use mimosa_protocol::DataCentreId;
 use mimosa_protocol::Result;
 use mimosa_route::message::ControlMessage;
 use mimosa_route::message::ControlState;
@@ -40,6 +41,8 @@
 pub struct GatewayPort {
     /// The name of the system.
     pub cluster: String,
+    /// Where this instance stands.
+    pub data_centre: Option<DataCentreId>,
     /// The replicated log.
     pub replicator: Arc<dyn Replicator>,
     /// The applied state.
@@ -173,6 +176,7 @@
             (version, out, routing.changed())
         });
         let state = ControlState {
+            data_centre: self.data_centre.clone(),
             term: status.term,
             leader: status.leader.and_then(|leader| leader.parse().ok()),
             members: members.filter_map(|name| name.parse().ok()).collect(),
--- a/crates/mimosa-control/src/routing/listing.rs
+++ b/crates/mimosa-control/src/routing/listing.rs
@@ -15,8 +15,9 @@
 use crate::routing::EndpointSource;
 use crate::routing::published::Published;
 
-/// Longest time for one read of the whole list.
-const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time for one read of the whole list. A list of many pages is read at the pace that its
+/// source asks for.
+const READ_TIMEOUT: Duration = Duration::from_secs(6);
 
 /// Time between two looks at whether a read is due.
 const LOOK_PERIOD: Duration = Duration::from_millis(50);
--- a/crates/mimosa-control/src/server.rs
+++ b/crates/mimosa-control/src/server.rs
@@ -325,6 +325,7 @@
         let port = GatewayPort {
             dispatcher,
             cluster: self.settings.cluster.clone(),
+            data_centre: self.settings.data_centre.clone(),
             replicator: Arc::clone(replicator),
             shared: Arc::clone(&self.shared),
             endpoints,
--- a/crates/mimosa-control/src/settings.rs
+++ b/crates/mimosa-control/src/settings.rs
@@ -10,6 +10,7 @@
 
 use mimosa_consensus::Seats;
 use mimosa_limit::quota::Tolerance;
+use mimosa_protocol::DataCentreId;
 use mimosa_protocol::Incarnation;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::OperatorId;
@@ -27,6 +28,8 @@
     pub instance: InstanceId,
     /// The name of the system; instances of another one are refused.
     pub cluster: String,
+    /// Where it stands, if that matters to those who connect.
+    pub data_centre: Option<DataCentreId>,
     /// Where everything that must survive is kept.
     pub data_folder: PathBuf,
     /// Where operators connect by HTTP.
@@ -138,6 +141,7 @@
         Self {
             instance: "control-1".parse().expect("the name is valid"),
             cluster: "mimosaswitch".to_owned(),
+            data_centre: None,
             data_folder: PathBuf::from("mimosaswitch-data"),
             admin_listen: any_port,
             entry_listen: any_port,
--- a/crates/mimosa-gateway/src/control_link.rs
+++ b/crates/mimosa-gateway/src/control_link.rs
@@ -98,7 +98,8 @@
     let directory = &shared.directory;
     match message {
         ControlMessage::State(state) => {
-            if directory.take_state(&state) {
+            let near = state.data_centre.as_ref() == Some(&shared.settings.data_centre);
+            if directory.take_state(shared.now(), &state, near) {
                 send(outbox, GatewayMessage::WantDocument);
             }
             if state.gateways > 0 {
--- a/crates/mimosa-gateway/src/directory.rs
+++ b/crates/mimosa-gateway/src/directory.rs
@@ -9,6 +9,7 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
@@ -32,6 +33,7 @@
 use mimosa_route::sync::ListDigest;
 use mimosa_route::sync::ListParts;
 use mimosa_route::sync::News;
+use mimosa_schedule::cold::ColdStart;
 use mimosa_schedule::health::Health;
 
 use crate::connection::Pool;
@@ -53,8 +55,22 @@
     term: u64,
     leader: Option<InstanceId>,
     follower: Follower,
+    wanted: Option<WantedDocument>,
 }
 
+/// A document that is newer than the one held.
+struct WantedDocument {
+    version: DocumentVersion,
+    heard: Timestamp,
+    asked: Option<Timestamp>,
+}
+
+/// How long a gateway waits for a control instance of its own data centre to have a new document,
+/// before it asks any other for it: such an instance learns of it a round trip later than the leader.
+const NEAR_PATIENCE: Duration = Duration::from_millis(150);
+/// How long it waits for a document that it asked for before it asks another instance.
+const DOCUMENT_PATIENCE: Duration = Duration::from_millis(500);
+
 /// The endpoints of one list.
 #[derive(Default)]
 pub(crate) struct Endpoints {
@@ -66,7 +82,7 @@
 /// One life of an endpoint, with what this gateway knows of it.
 pub(crate) struct EndpointEntry {
     pub(crate) listed: ListedEndpoint,
-    pub(crate) cold_until: Timestamp,
+    cold: Mutex<ColdStart>,
     pub(crate) pool: Pool,
     /// Requests of this gateway that it has in hand.
     pub(crate) in_hand: Arc<AtomicU32>,
@@ -79,6 +95,10 @@
         self.health.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn cold(&self) -> MutexGuard<'_, ColdStart> {
+        self.cold.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn tell_load(&self, now: Timestamp, load: ToldLoad) {
         *self.told.lock().unwrap_or_else(PoisonError::into_inner) = Some((now, load));
     }
@@ -138,8 +158,9 @@
         self.table.load().is_some() && self.update().follower.is_complete()
     }
 
-    /// Takes in the state of a control instance. Returns whether its document is wanted.
-    pub(crate) fn take_state(&self, state: &ControlState) -> bool {
+    /// Takes in the state of a control instance, which may stand near. Returns whether its document
+    /// is wanted: from one instance alone, as all of them tell of it.
+    pub(crate) fn take_state(&self, now: Timestamp, state: &ControlState, near: bool) -> bool {
         let mut update = self.update();
         if state.term >= update.term {
             update.term = state.term;
@@ -165,7 +186,10 @@
                 self.out.store(Arc::new(out));
             }
         }
-        state.version > self.version()
+        match state.version {
+            Some(version) if Some(version) > self.version() => update.wants(now, version, near),
+            _ => false,
+        }
     }
 
     /// Takes in a routing document if it is newer.
@@ -281,6 +305,29 @@
     }
 }
 
+impl Update {
+    /// Whether to ask an instance for a document that it has.
+    fn wants(&mut self, now: Timestamp, version: DocumentVersion, near: bool) -> bool {
+        let known = self.wanted.take();
+        let known = known.filter(|wanted| wanted.version >= version);
+        let mut wanted = known.unwrap_or(WantedDocument {
+            version,
+            heard: now,
+            asked: None,
+        });
+        let is_asked = wanted
+            .asked
+            .is_some_and(|at| now.since(at) < DOCUMENT_PATIENCE);
+        let may_ask = near || now.since(wanted.heard) >= NEAR_PATIENCE;
+        let asks = wanted.version == version && may_ask && !is_asked;
+        if asks {
+            wanted.asked = Some(now);
+        }
+        self.wanted = Some(wanted);
+        asks
+    }
+}
+
 impl Endpoints {
     fn new(known: HashMap<EndpointId, Arc<EndpointEntry>>) -> Self {
         let mut active = HashMap::<_, HashMap<_, Vec<_>>>::new();
@@ -317,7 +364,7 @@
             cold_left: self.listed.cold_left,
             ..listed.clone()
         };
-        let is_as_cold = self.cold_until.since(now) == listed.cold_left;
+        let is_as_cold = self.cold().until().since(now) == listed.cold_left;
         is_as_cold && self.listed == as_before
     }
 
@@ -334,9 +381,11 @@
         let goes_on = held.filter(|held| {
             held.listed.born == listed.born && held.listed.address == listed.address
         });
+        let mut cold = goes_on.map(|held| *held.cold()).unwrap_or_default();
+        cold.set_until(now, now + listed.cold_left);
         Self {
             listed: listed.clone(),
-            cold_until: now + listed.cold_left,
+            cold: Mutex::new(cold),
             pool: goes_on.map_or_else(|| Pool::new(listed.address), |held| held.pool.clone()),
             in_hand: goes_on.map_or_else(Arc::default, |held| Arc::clone(&held.in_hand)),
             health: Mutex::new(goes_on.map_or_else(Health::default, |held| held.health().clone())),
--- a/crates/mimosa-gateway/src/shared.rs
+++ b/crates/mimosa-gateway/src/shared.rs
@@ -50,6 +50,8 @@
     pub(crate) gateways: AtomicU32,
     retries: Mutex<HashMap<ServiceId, RetryBudget>>,
     clock: Clock,
+    /// Tells this life of the gateway from others, where they take turns.
+    pub(crate) number: u64,
     random: AtomicU64,
 }
 
@@ -70,6 +72,7 @@
             gateways: AtomicU32::new(ASSUMED_GATEWAYS),
             retries: Mutex::default(),
             clock: Clock::start(),
+            number: u64::from_le_bytes(seed),
             random: AtomicU64::new(u64::from_le_bytes(seed)),
         }
     }
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -1,6 +1,7 @@
 //! One call to one endpoint.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,6 +17,7 @@
 use hyper::header::HeaderValue;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::configuration::EndpointRole;
+use mimosa_schedule::cold::Turn;
 use mimosa_schedule::pick::Candidate;
 use mimosa_schedule::pick::pick;
 use tokio::time::timeout;
@@ -95,21 +97,26 @@
     role: EndpointRole,
     tried: &[Arc<EndpointEntry>],
 ) -> Option<Arc<EndpointEntry>> {
+    let cold_start = request.table.service(&request.service)?.cold_start;
+    let gateways = shared.gateways.load(Ordering::Relaxed);
+    let turn = Turn::of(cold_start.per_kilosecond, gateways, shared.number);
     let usable: Vec<_> = endpoints
         .active(&request.service, role)
         .iter()
         .filter(|each| !shared.directory.is_out(&each.listed.data_centre))
         .filter(|each| !tried.iter().any(|old| old.listed.id == each.listed.id))
+        .filter(|each| each.cold().takes_work(now, turn))
         .collect();
     let candidates: Vec<_> = usable
         .iter()
         .map(|each| candidate(shared, now, each))
         .collect();
-    pick(&candidates, shared.random()).map(|place| Arc::clone(usable[place]))
+    let chosen = usable[pick(&candidates, shared.random())?];
+    chosen.cold().sent(now, turn);
+    Some(Arc::clone(chosen))
 }
 
 fn candidate(shared: &Shared, now: Timestamp, endpoint: &EndpointEntry) -> Candidate {
-    use std::sync::atomic::Ordering;
     let health = endpoint.health();
     let told = endpoint
         .told_load()
@@ -129,7 +136,7 @@
         latency: health.latency().filter(|_| !is_prefill),
         failing_permille: health.failing_permille(now),
         // A cold endpoint bears little: it gets work from here only if there is no other.
-        paused: health.is_paused(now) || now < endpoint.cold_until,
+        paused: health.is_paused(now) || endpoint.cold().is_cold(now),
         near: endpoint.listed.data_centre == shared.settings.data_centre,
     }
 }
--- a/crates/mimosa-route/src/message.rs
+++ b/crates/mimosa-route/src/message.rs
@@ -148,6 +148,8 @@
     /// What a control instance knows.
     #[derive(Default)]
     pub struct ControlState {
+        /// Where it stands.
+        pub data_centre: Option<DataCentreId>,
         /// Its term.
         pub term: u64,
         /// Who leads in that term.
--- a/crates/mimosa-schedule/src/fleet.rs
+++ b/crates/mimosa-schedule/src/fleet.rs
@@ -153,7 +153,7 @@
     pub fn handle(&mut self, now: Timestamp, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
         match event {
-            Event::Configure(view) => self.configure(view),
+            Event::Configure(view) => self.configure(now, view),
             Event::Ask(ask) => self.ask(now, ask, &mut actions),
             Event::Held(held) => self.hold(now, held),
             Event::Prefilled { ticket, took } => self.prefilled(now, &ticket, took),
@@ -190,7 +190,7 @@
             .min()
     }
 
-    fn configure(&mut self, view: View) {
+    fn configure(&mut self, now: Timestamp, view: View) {
         self.endpoints
             .retain(|id, _| view.endpoints.iter().any(|each| each.id == *id));
         for each in &view.endpoints {
@@ -206,7 +206,7 @@
             }
             known.role = Some(each.role);
             known.data_centre = Some(each.data_centre.clone());
-            known.cold_until = each.cold_until;
+            known.cold.set_until(now, each.cold_until);
         }
         self.view = view;
         self.is_configured = true;
--- a/crates/mimosa-schedule/src/fleet/endpoint.rs
+++ b/crates/mimosa-schedule/src/fleet/endpoint.rs
@@ -9,9 +9,8 @@
 
 use super::Ticket;
 use super::forecast::Load;
-
-/// Time between two requests to a cold endpoint.
-const COLD_INTERVAL: Duration = Duration::from_millis(100);
+use crate::cold::ColdStart;
+use crate::cold::Turn;
 
 /// First pause of an endpoint that failed.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
@@ -23,14 +22,13 @@
 pub(super) struct FleetEndpoint {
     pub(super) role: Option<EndpointRole>,
     pub(super) data_centre: Option<DataCentreId>,
-    pub(super) cold_until: Timestamp,
+    pub(super) cold: ColdStart,
     /// After it said that it had no room.
     pub(super) full_until: Timestamp,
     /// What decodes here.
     pub(super) loads: BTreeMap<Ticket, Load>,
     /// What is prefilled here, with the time when each is expected to be done.
     prefills: BTreeMap<Ticket, Timestamp>,
-    last_cold: Timestamp,
     away_until: Timestamp,
     failures: u32,
 }
@@ -78,9 +76,8 @@
     }
 
     /// Whether it was reached lately, and is warm or has had a pause since its last request.
-    pub(super) fn takes_work(&self, now: Timestamp) -> bool {
-        let is_warm = now >= self.cold_until || now >= self.last_cold + COLD_INTERVAL;
-        is_warm && now >= self.away_until
+    pub(super) fn takes_work(&self, now: Timestamp, turn: Turn) -> bool {
+        self.cold.takes_work(now, turn) && now >= self.away_until
     }
 
     /// It could not be reached, or failed: it gets nothing for a while, and longer each time.
@@ -100,20 +97,17 @@
         self.away_until = Timestamp::ZERO;
     }
 
-    pub(super) fn count_cold(&mut self, now: Timestamp) {
-        self.last_cold = now;
-    }
-
     /// Starts a prefill; returns when it is expected to be done.
     pub(super) fn start_prefill(
         &mut self,
         now: Timestamp,
         ticket: &Ticket,
         time: Duration,
+        turn: Turn,
     ) -> Timestamp {
         let done = self.free_at(now).max(now) + time;
         self.prefills.insert(ticket.clone(), done);
-        self.last_cold = now;
+        self.cold.sent(now, turn);
         done
     }
 
--- a/crates/mimosa-schedule/src/fleet/placing.rs
+++ b/crates/mimosa-schedule/src/fleet/placing.rs
@@ -58,9 +58,10 @@
         now: Timestamp,
     ) -> impl Iterator<Item = (&EndpointId, &FleetEndpoint, Timestamp)> {
         let limit = now + self.settings.prefill_lookahead;
+        let turn = self.view.cold_turn;
         self.endpoints
             .iter()
-            .filter(move |(_, each)| each.prefills() && each.takes_work(now))
+            .filter(move |(_, each)| each.prefills() && each.takes_work(now, turn))
             .map(move |(id, each)| (id, each, each.free_at(now)))
             .filter(move |(.., free_at)| *free_at <= limit)
     }
@@ -80,10 +81,14 @@
             let is_near = home.is_some_and(|home| each.is_in(home));
             if is_near { 0 } else { load.prompt.0 }
         };
+        let takes_work = |each: &FleetEndpoint| {
+            let turn = self.view.cold_turn;
+            each.decodes() && each.takes_work(now, turn) && now >= each.full_until
+        };
         let mut open: Vec<_> = self
             .endpoints
             .iter()
-            .filter(|(_, each)| each.decodes() && each.takes_work(now) && now >= each.full_until)
+            .filter(|(_, each)| takes_work(each))
             .filter(|(_, each)| each.loads.len() < self.view.slots as usize)
             .map(|(id, each)| {
                 let present = forecast::present(now, each.loads.values(), token_time);
@@ -114,17 +119,18 @@
         let ask = waiting.ask;
         let ticket = ask.ticket.clone();
         let prefill_time = self.pace.prefill_time(ask.prompt);
+        let turn = self.view.cold_turn;
         let mut ready = now;
         if let Some(prefill) = &placement.prefill
             && let Some(endpoint) = self.endpoints.get_mut(prefill)
         {
-            ready = endpoint.start_prefill(now, &ticket, prefill_time);
+            ready = endpoint.start_prefill(now, &ticket, prefill_time, turn);
         }
         let from = ready + self.settings.first_output_time;
         let load = self.pace.load(&ask, from);
         if let Some(endpoint) = self.endpoints.get_mut(&placement.decode) {
             endpoint.loads.insert(ticket.clone(), load);
-            endpoint.count_cold(now);
+            endpoint.cold.sent(now, turn);
         }
         let run = Run {
             ask,
--- a/crates/mimosa-schedule/src/fleet/settings.rs
+++ b/crates/mimosa-schedule/src/fleet/settings.rs
@@ -8,6 +8,8 @@
 use mimosa_protocol::Tokens;
 use mimosa_protocol::configuration::EndpointRole;
 
+use crate::cold::Turn;
+
 /// The endpoints of the service.
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -15,6 +17,8 @@
     pub memory: Tokens,
     /// Requests that an endpoint runs at once.
     pub slots: u32,
+    /// When a cold endpoint gets requests.
+    pub cold_turn: Turn,
     /// The endpoints that take work.
     pub endpoints: Vec<ViewEndpoint>,
 }
--- a/crates/mimosa-schedule/src/lib.rs
+++ b/crates/mimosa-schedule/src/lib.rs
@@ -116,6 +116,7 @@
 
 pub mod action;
 pub mod balance;
+pub mod cold;
 pub mod event;
 pub mod fence;
 pub mod fleet;
--- a/crates/mimosa-schedule/tests/fleet/world.rs
+++ b/crates/mimosa-schedule/tests/fleet/world.rs
@@ -7,6 +7,7 @@
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::Tokens;
 use mimosa_protocol::configuration::EndpointRole;
+use mimosa_schedule::cold::Turn;
 use mimosa_schedule::fleet::Action;
 use mimosa_schedule::fleet::Ask;
 use mimosa_schedule::fleet::Event;
@@ -43,6 +44,7 @@
     View {
         memory: Tokens(MEMORY),
         slots: 64,
+        cold_turn: Turn::of_one(0),
         endpoints: prefills.chain(decodes).collect(),
     }
 }
--- a/src/command/control.rs
+++ b/src/command/control.rs
@@ -102,7 +102,10 @@
 fn outside(routing: &ControlRouting) -> Outside {
     Outside {
         format: Arc::new(PlatformDocument),
-        source: Arc::new(InstanceList::new(routing.endpoint_list)),
+        source: Arc::new(InstanceList::new(
+            routing.endpoint_list,
+            routing.list_call_rate.per_kilosecond,
+        )),
         operators: Arc::new(OperatorCalls),
         engines: Arc::new(EngineCalls::default()),
         list_interval: routing.list_interval,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -35,6 +35,7 @@
     mimosa_control::Settings {
         instance: instance.id.clone(),
         cluster: instance.cluster.clone(),
+        data_centre: Some(instance.data_centre.clone()),
         data_folder: settings.data_folder,
         admin_listen: settings.admin_listen,
         entry_listen: settings.entry_listen,
