Hold the time of a head apart from the idle time, and refuse large heads with an answer of our own

The phase of each caller's connection is followed: idle, head on its way from its first byte, busy until the answer is passed on whole. Heads up to 8 KiB over the limit get 431 with a problem document.

Ruled out: the library's timer alone (it starts before the first byte).

--- a/crates/mimosa-control/src/routing/dispatch/inner.rs
+++ b/crates/mimosa-control/src/routing/dispatch/inner.rs
@@ -270,11 +270,9 @@
     }
 
     pub(super) fn send(&self, gateway: &InstanceId, message: ControlMessage) {
-        let sent = self
-            .gateways
-            .get(gateway)
-            .map(|known| known.outbox.try_send(message));
-        if !matches!(sent, Some(Ok(()))) {
+        let known = self.gateways.get(gateway);
+        let is_sent = known.is_some_and(|known| known.outbox.try_send(message).is_ok());
+        if !is_sent {
             warn!("gateway={gateway} message=dropped");
         }
     }
--- a/crates/mimosa-gateway/src/answer.rs
+++ b/crates/mimosa-gateway/src/answer.rs
@@ -25,6 +25,8 @@
     NoRoute,
     /// The key is missing or unknown.
     NoKey,
+    /// The head is larger than allowed.
+    HeadTooLarge,
     /// The body is larger than allowed.
     BodyTooLarge,
     /// The body did not arrive in time.
@@ -57,6 +59,7 @@
             Self::OverBurst => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::BadRequest => StatusCode::BAD_REQUEST,
@@ -70,6 +73,7 @@
             Self::NoConfiguration => "no configuration is known yet",
             Self::NoRoute => "no route",
             Self::NoKey => "the key is missing or unknown",
+            Self::HeadTooLarge => "the head is too large",
             Self::BodyTooLarge => "the body is too large",
             Self::BodyTooSlow => "the body did not arrive in time",
             Self::BadRequest => "the request cannot be read",
--- a/crates/mimosa-gateway/src/head.rs
+++ b/crates/mimosa-gateway/src/head.rs
@@ -41,6 +41,9 @@
 ) -> Result<Identified, Failure> {
     let facts = shared.dialect.read(request.headers());
     let table = shared.directory.table().ok_or(Failure::NoConfiguration)?;
+    if size(request) > table.configuration().limits.head.0 {
+        return Err(Failure::HeadTooLarge);
+    }
     let host = request
         .headers()
         .get(header::HOST)
@@ -69,3 +72,19 @@
         deadline: now + patience,
     })
 }
+
+/// The bytes of a head as it is usually written, without spaces around the values.
+fn size<B>(request: &Request<B>) -> u64 {
+    /// `: ` and the end of the line.
+    const FIELD: usize = 4;
+    /// Two spaces, ` HTTP/1.1` without its own, the end of the line and the empty line.
+    const LINE: usize = 14;
+    let target = request.uri().path_and_query();
+    let target = target.map_or(0, |target| target.as_str().len());
+    let fields: usize = request
+        .headers()
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + FIELD)
+        .sum();
+    (request.method().as_str().len() + target + LINE + fields) as u64
+}
--- a/crates/mimosa-gateway/src/lib.rs
+++ b/crates/mimosa-gateway/src/lib.rs
@@ -7,10 +7,11 @@
 //! * [`dialect`] is the border to the headers that callers and endpoints use.
 //! * [`directory`] holds what control instances told: routes, endpoints, data centres that are out.
 //! * [`control_link`] keeps it up to date.
-//! * [`connection`] keeps the connections to endpoints.
+//! * [`connection`] keeps the connections to endpoints, [`caller`] those of callers.
 
 mod answer;
 mod body;
+mod caller;
 mod connection;
 mod control_link;
 mod directory;
--- a/crates/mimosa-gateway/src/server.rs
+++ b/crates/mimosa-gateway/src/server.rs
@@ -32,6 +32,8 @@
 
 use crate::answer;
 use crate::answer::Body;
+use crate::caller::Watch;
+use crate::caller::WatchedStream;
 use crate::control_link;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
@@ -42,6 +44,11 @@
 
 /// Pause after a failed accept, as when the process is out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Bytes by which a head may be too large and still be read, to be refused with an answer of the
+/// gateway's own.
+const HEAD_ROOM: usize = 8 << 10;
+/// The smallest read buffer that the HTTP library takes, in bytes.
+const MIN_HEAD_BUFFER: usize = 8 << 10;
 /// Time to send the head of a question for readiness.
 const READINESS_HEAD_TIME: Duration = Duration::from_secs(5);
 
@@ -198,21 +205,35 @@
     let table = shared.directory.table();
     let limits = table.map_or_else(CallerLimits::default, |table| table.configuration().limits);
     let shared = Arc::clone(shared);
-    let service = service_fn(move |request| serve::answer(Arc::clone(&shared), request));
+    let watch = Watch::new();
+    let watched = Arc::clone(&watch);
+    let stream = WatchedStream {
+        stream,
+        watch: Arc::clone(&watch),
+    };
+    let service = service_fn(move |request| {
+        let shared = Arc::clone(&shared);
+        let watch = Arc::clone(&watched);
+        watch.busy();
+        async move {
+            let answered = serve::answer(shared, request).await;
+            answered.map(|response| response.map(|body| watch.idle_after(body)))
+        }
+    });
+    let most = usize::try_from(limits.head.0).unwrap_or(usize::MAX);
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // The wait for the next request counts as a part of the head's time.
-        .header_read_timeout(limits.idle_time.max(limits.head_time))
-        .max_buf_size(
-            usize::try_from(limits.head.0)
-                .unwrap_or(usize::MAX)
-                .max(8 << 10),
-        )
+        // Heads that are a little too large are answered with a problem by this instance.
+        .max_buf_size(most.saturating_add(HEAD_ROOM).max(MIN_HEAD_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
     let connection = graceful.watch(connection);
     async move {
-        if let Err(e) = connection.await {
-            debug!("a connection ended: {e}");
+        tokio::select! {
+            ended = connection => {
+                if let Err(e) = ended {
+                    debug!("a connection ended: {e}");
+                }
+            }
+            why = watch.overdue(limits) => debug!("a connection is closed: overdue={why:?}"),
         }
     }
 }
