Let resumable streams go on at another endpoint, and avoid endpoints where a request broke

Events of such routes are passed on whole; when the answer is cut off, or silent for four promised pauses, the request is placed again with the id of the last event, within the route's attempts and the retry budget; repeated events are dropped. Callers may ask for the rest themselves. The leader hears of endpoints that went away during a run and leaves them alone for a moment, and an ask names the endpoints that were tried: the first try of the test placed the stream at the broken endpoint again, as the leader knew nothing of it.

Ruled out: resuming streams of other routes (they may run once), and resuming without the budget (it counts arrivals).

--- a/crates/mimosa-control/tests/dispatch.rs
+++ b/crates/mimosa-control/tests/dispatch.rs
@@ -204,6 +204,7 @@
             target_left: Duration::from_secs(60),
             patience_left: Duration::from_secs(60),
             data_centre: "north".parse().unwrap(),
+            avoid: Vec::new(),
             prefilled: None,
         };
         let service = "verse".parse().unwrap();
--- a/crates/mimosa-gateway/src/answer.rs
+++ b/crates/mimosa-gateway/src/answer.rs
@@ -14,7 +14,18 @@
 use crate::dialect::Dialect;
 
 /// The body of every answer to a caller.
-pub(crate) type Body = UnsyncBoxBody<Bytes, hyper::Error>;
+pub(crate) type Body = UnsyncBoxBody<Bytes, BodyError>;
+
+/// Why an answer ends before it is complete.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum BodyError {
+    /// The endpoint's answer was cut off.
+    #[error("the endpoint's answer was cut off: {0}")]
+    Cut(#[from] hyper::Error),
+    /// The stream could not go on at another endpoint.
+    #[error("the stream did not go on: {0}")]
+    NotResumed(&'static str),
+}
 
 /// Why the gateway answers by itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/mimosa-gateway/src/caller.rs
+++ b/crates/mimosa-gateway/src/caller.rs
@@ -25,6 +25,7 @@
 use tokio::time::sleep_until;
 
 use crate::answer::Body;
+use crate::answer::BodyError;
 
 /// What a connection does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -119,12 +120,12 @@
 
 impl hyper::body::Body for Answer {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         Pin::new(&mut self.body).poll_frame(cx)
     }
 
--- a/crates/mimosa-gateway/src/dialect.rs
+++ b/crates/mimosa-gateway/src/dialect.rs
@@ -101,6 +101,12 @@
     /// How busy the endpoint says it is.
     fn load(&self, headers: &HeaderMap) -> Option<ToldLoad>;
 
+    /// The id of the last event of a stream that a caller has already.
+    fn last_event(&self, headers: &HeaderMap) -> Option<String>;
+
+    /// Asks for a stream to go on behind an event.
+    fn set_last_event(&self, headers: &mut HeaderMap, id: &str);
+
     /// Reads the answer to a prefill: the name of the KV cache.
     fn prefill_handle(&self, body: &[u8]) -> Option<String>;
 
--- a/crates/mimosa-gateway/src/head.rs
+++ b/crates/mimosa-gateway/src/head.rs
@@ -16,6 +16,7 @@
 use crate::shared::Shared;
 
 /// A request whose route and account are known.
+#[derive(Clone)]
 pub(crate) struct Identified {
     pub(crate) facts: RequestFacts,
     pub(crate) table: Arc<RouteTable>,
@@ -23,6 +24,8 @@
     pub(crate) account: Option<AccountId>,
     pub(crate) service: ServiceId,
     pub(crate) arrived: Timestamp,
+    /// Since when it waits for an endpoint: its arrival, or the break of its stream.
+    pub(crate) waiting_since: Timestamp,
     /// When the caller or the route gives it up.
     pub(crate) deadline: Timestamp,
 }
@@ -69,6 +72,7 @@
         account,
         service,
         arrived: now,
+        waiting_since: now,
         deadline: now + patience,
     })
 }
--- a/crates/mimosa-gateway/src/lib.rs
+++ b/crates/mimosa-gateway/src/lib.rs
@@ -23,11 +23,13 @@
 mod purse;
 mod quota;
 mod relay;
+mod resume;
 mod serve;
 mod shared;
 mod upstream;
 
 pub mod dialect;
+pub mod events;
 pub mod server;
 pub mod settings;
 
--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -36,6 +36,8 @@
 use crate::quota;
 use crate::relay;
 use crate::relay::StreamInfo;
+use crate::resume;
+use crate::resume::Origin;
 use crate::shared::Shared;
 use crate::upstream;
 use crate::upstream::CallFailure;
@@ -63,33 +65,68 @@
 }
 
 /// What was tried for a request so far.
-#[derive(Default)]
-struct Tried {
-    endpoints: Vec<Arc<EndpointEntry>>,
+pub(crate) struct Tried {
+    pub(crate) endpoints: Vec<Arc<EndpointEntry>>,
+    /// Runs that it may still have.
+    pub(crate) attempts_left: u32,
     cache: Option<HeldCache>,
 }
 
-/// Runs a request of a model.
+impl Tried {
+    /// Nothing, of so many runs.
+    pub(crate) fn nothing(attempts: u32) -> Self {
+        Self {
+            endpoints: Vec::new(),
+            attempts_left: attempts.max(1),
+            cache: None,
+        }
+    }
+}
+
+/// Serves a request of a model.
 pub(crate) async fn serve(
     shared: &Arc<Shared>,
     request: &Identified,
     whole: &Whole,
 ) -> Result<Response<Body>, Failure> {
-    let mut tried = Tried::default();
+    let mut tried = Tried::nothing(request.route.max_attempts);
+    let response = run_anywhere(shared, request, whole, &mut tried).await?;
+    if !request.route.repeat.may_resume() {
+        return Ok(response);
+    }
+    let origin = Origin {
+        shared: Arc::clone(shared),
+        request: request.clone(),
+        whole: whole.clone(),
+        tried,
+    };
+    Ok(resume::resumable(response, origin))
+}
+
+/// Runs a request of a model where there is room, at an endpoint that was not tried yet.
+pub(crate) async fn run_anywhere(
+    shared: &Arc<Shared>,
+    request: &Identified,
+    whole: &Whole,
+    tried: &mut Tried,
+) -> Result<Response<Body>, Failure> {
+    let tried_before = tried.endpoints.len();
     let mut last = not_run("no endpoint had room");
     for _ in 0..MAX_PLACES {
-        let places = match place(shared, request, &tried).await {
+        let places = match place(shared, request, tried).await {
             Ok(places) => places,
-            Err(_) if !tried.endpoints.is_empty() => return Err(last),
+            Err(_) if tried.endpoints.len() > tried_before => return Err(last),
             Err(failure) => return Err(failure),
         };
-        let failed = match run(shared, request, whole, places, &mut tried).await {
+        let failed = match run(shared, request, whole, places, tried).await {
             Ok(response) => return Ok(response),
             Err(failed) => failed,
         };
+        let may_run_again = request.route.repeat.may_resume() && tried.attempts_left > 0;
         last = match failed {
             CallFailure::NotSent => not_run("an endpoint cannot be reached"),
             CallFailure::NotRun => not_run("an endpoint has no room"),
+            CallFailure::Unknown(reason) if may_run_again => Failure::Lost(reason),
             CallFailure::Unknown(reason) => return Err(Failure::Lost(reason)),
             CallFailure::TimedOut => return Err(Failure::TimedOut),
         };
@@ -146,6 +183,8 @@
             if let Some(held) = tried.cache.take() {
                 held.taken();
             }
+            tried.attempts_left = tried.attempts_left.saturating_sub(1);
+            tried.endpoints.push(decode.clone());
             info!(
                 "request={} step=decode outcome=started endpoint={} waited_ms={}",
                 request.facts.attempt,
@@ -171,8 +210,12 @@
             run.end(match failure {
                 CallFailure::NotRun => RunEnd::NoRoom,
                 CallFailure::NotSent => RunEnd::Unreachable(id),
-                _ => RunEnd::Broken,
+                CallFailure::Unknown(_) => RunEnd::Lost(id),
+                CallFailure::TimedOut => RunEnd::Broken,
             });
+            if !failure.has_not_run() {
+                tried.attempts_left = tried.attempts_left.saturating_sub(1);
+            }
             tried.endpoints.push(decode);
             Err(failure)
         }
@@ -289,7 +332,7 @@
     let facts = &request.facts;
     let route = &request.route;
     let patience = first_event_patience(route).min(request.deadline.since(request.arrived));
-    let waited = now.since(request.arrived);
+    let waited = now.since(request.waiting_since);
     let patience_left = patience.saturating_sub(waited);
     let cache_left = tried
         .cache
@@ -309,6 +352,11 @@
         target_left: route.target.saturating_sub(waited),
         patience_left: cache_left.map_or(patience_left, |left| left.min(patience_left)),
         data_centre: shared.settings.data_centre.clone(),
+        avoid: tried
+            .endpoints
+            .iter()
+            .map(|each| each.listed.id.clone())
+            .collect(),
         prefilled: tried
             .cache
             .as_ref()
--- a/crates/mimosa-gateway/src/relay.rs
+++ b/crates/mimosa-gateway/src/relay.rs
@@ -21,6 +21,7 @@
 
 use crate::answer;
 use crate::answer::Body;
+use crate::answer::BodyError;
 use crate::connection::Connection;
 use crate::directory::EndpointEntry;
 use crate::directory::InHand;
@@ -196,6 +197,7 @@
                 let output = Tokens(self.events.count * self.info.tokens_per_event.0);
                 run.end(match outcome {
                     "complete" => RunEnd::Complete(output),
+                    "cut" => RunEnd::Lost(self.endpoint.listed.id.clone()),
                     _ => RunEnd::Broken,
                 });
             }
@@ -222,12 +224,12 @@
 
 impl hyper::body::Body for Relay {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let polled = Pin::new(&mut self.body).poll_frame(cx);
         match &polled {
             Poll::Ready(None) => self.end("complete"),
@@ -242,7 +244,7 @@
             }
             Poll::Pending => {}
         }
-        polled
+        polled.map_err(BodyError::from)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -52,6 +52,7 @@
 const MIN_CONNECTIONS: u32 = 4;
 
 /// A caller's request, whole.
+#[derive(Clone)]
 pub(crate) struct Whole {
     pub(crate) method: Method,
     pub(crate) uri: Uri,
--- a/crates/mimosa-route/src/model.rs
+++ b/crates/mimosa-route/src/model.rs
@@ -176,6 +176,11 @@
         matches!(self, Self::Idempotent)
     }
 
+    /// Whether a stream may go on at another endpoint, behind the last event that arrived.
+    pub const fn may_resume(self) -> bool {
+        matches!(self, Self::ResumableStream)
+    }
+
     /// Whether the answer is a stream of events.
     pub const fn is_stream(self) -> bool {
         matches!(self, Self::Stream | Self::ResumableStream)
--- a/crates/mimosa-schedule/src/fleet.rs
+++ b/crates/mimosa-schedule/src/fleet.rs
@@ -284,7 +284,7 @@
     }
 
     fn ended(&mut self, now: Timestamp, ticket: &Ticket, end: &RunEnd) {
-        if let RunEnd::Unreachable(endpoint) = end
+        if let RunEnd::Unreachable(endpoint) | RunEnd::Lost(endpoint) = end
             && let Some(endpoint) = self.endpoints.get_mut(endpoint)
         {
             endpoint.failed(now);
--- a/crates/mimosa-schedule/src/fleet/message.rs
+++ b/crates/mimosa-schedule/src/fleet/message.rs
@@ -41,6 +41,8 @@
         pub patience_left: Duration,
         /// Where the gateway stands.
         pub data_centre: DataCentreId,
+        /// Endpoints where it failed or found no room: others are better.
+        pub avoid: Vec<EndpointId>,
         /// The endpoint that holds the KV cache already, after the decode failed elsewhere.
         pub prefilled: Option<EndpointId>,
     }
@@ -63,6 +65,8 @@
         NoRoom,
         /// An endpoint could not be reached or failed before the run started.
         Unreachable(EndpointId),
+        /// The endpoint went away while it ran.
+        Lost(EndpointId),
         /// It failed, or its caller left.
         Broken,
     }
--- a/crates/mimosa-schedule/src/fleet/placing.rs
+++ b/crates/mimosa-schedule/src/fleet/placing.rs
@@ -10,6 +10,7 @@
 use super::forecast;
 use super::forecast::Load;
 use super::message::Action;
+use super::message::Ask;
 use super::message::Placement;
 use super::waiting::Waiting;
 
@@ -23,7 +24,7 @@
                 .endpoints
                 .get(holder)
                 .and_then(|each| each.data_centre.clone());
-            let decode = self.find_decode(now, &load, home.as_ref())?;
+            let decode = self.find_decode(now, ask, &load, home.as_ref())?;
             return Some(Placement {
                 prefill: None,
                 decode,
@@ -33,6 +34,7 @@
         let has_prefill = self.endpoints.values().any(FleetEndpoint::prefills);
         let prefill = self
             .free_prefills(now)
+            .filter(|(id, ..)| !self.avoids(ask, id))
             .min_by_key(|(_, each, free_at)| (!each.is_in(&ask.data_centre), *free_at));
         if has_prefill && prefill.is_none() {
             return None;
@@ -45,7 +47,7 @@
         let home = prefill
             .as_ref()
             .and_then(|(_, each, _)| each.data_centre.clone());
-        let decode = self.find_decode(now, &load, home.as_ref())?;
+        let decode = self.find_decode(now, ask, &load, home.as_ref())?;
         Some(Placement {
             prefill: prefill.map(|(id, ..)| id.clone()),
             decode,
@@ -66,11 +68,25 @@
             .filter(move |(.., free_at)| *free_at <= limit)
     }
 
+    /// Whether a request should go elsewhere than to an endpoint, as long as there is an elsewhere.
+    fn avoids(&self, ask: &Ask, id: &EndpointId) -> bool {
+        if !ask.avoid.contains(id) {
+            return false;
+        }
+        let role = self.endpoints.get(id).map(|each| each.role);
+        let mut alike = self
+            .endpoints
+            .iter()
+            .filter(|(_, each)| Some(each.role) == role);
+        alike.any(|(other, _)| !ask.avoid.contains(other))
+    }
+
     /// The decode endpoint with the most room of those that have enough, near the KV cache if it
     /// makes little difference.
     fn find_decode(
         &self,
         now: Timestamp,
+        ask: &Ask,
         load: &Load,
         home: Option<&DataCentreId>,
     ) -> Option<EndpointId> {
@@ -88,7 +104,7 @@
         let mut open: Vec<_> = self
             .endpoints
             .iter()
-            .filter(|(_, each)| takes_work(each))
+            .filter(|(id, each)| takes_work(each) && !self.avoids(ask, id))
             .filter(|(_, each)| each.loads.len() < self.view.slots as usize)
             .map(|(id, each)| {
                 let present = forecast::present(now, each.loads.values(), token_time);
--- a/crates/mimosa-schedule/tests/fleet.rs
+++ b/crates/mimosa-schedule/tests/fleet.rs
@@ -9,6 +9,7 @@
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::Tokens;
 use mimosa_schedule::fleet::Action;
+use mimosa_schedule::fleet::Ask;
 use mimosa_schedule::fleet::Event;
 use mimosa_schedule::fleet::Fleet;
 use mimosa_schedule::fleet::Held;
@@ -165,6 +166,60 @@
     expect_that!(fleet.summary(START).len(), lt(2_500));
 }
 
+/// A request that broke at one endpoint is placed at others, as long as there are some.
+#[gtest]
+fn an_endpoint_that_is_to_be_avoided_comes_last() {
+    let mut fleet = fleet();
+    let mut avoid = Vec::new();
+    let mut chosen = Vec::new();
+    for number in 1..=6 {
+        let again = Ask {
+            avoid: avoid.clone(),
+            ..ask(number, 5_000, 400)
+        };
+        let now = START + Duration::from_secs(number);
+        let actions = fleet.handle(now, Event::Ask(again.clone()));
+        let [Action::Place { placement, .. }] = actions.as_slice() else {
+            panic!("{actions:?}");
+        };
+        chosen.push(placement.decode.to_string());
+        avoid.push(placement.decode.clone());
+        let ended = Event::Ended {
+            ticket: again.ticket,
+            end: RunEnd::Broken,
+        };
+        fleet.handle(now, ended);
+    }
+    chosen[..5].sort();
+    expect_that!(chosen[..5], eq(["d-1", "d-2", "d-3", "d-4", "d-5"]));
+    // All were tried by then: the sixth goes to one of them again.
+    expect_that!(chosen[5], starts_with("d-"));
+}
+
+/// An endpoint that went away while a request ran gets nothing for a moment.
+#[gtest]
+fn an_endpoint_that_went_away_is_left_alone() {
+    let mut fleet = fleet();
+    let actions = fleet.handle(START, Event::Ask(ask(1, 5_000, 400)));
+    let [Action::Place { placement, .. }] = actions.as_slice() else {
+        panic!("{actions:?}");
+    };
+    let lost = placement.decode.clone();
+    let ended = Event::Ended {
+        ticket: ask(1, 5_000, 400).ticket,
+        end: RunEnd::Lost(lost.clone()),
+    };
+    fleet.handle(START, ended);
+    for number in 2..=5 {
+        let actions = fleet.handle(START, Event::Ask(ask(number, 5_000, 400)));
+        for action in &actions {
+            if let Action::Place { placement, .. } = action {
+                expect_that!(placement.decode, not(eq(&lost)));
+            }
+        }
+    }
+}
+
 /// What would wait for memory until it is given up is told at once; what has room in time waits.
 #[gtest]
 fn a_hopeless_request_is_refused_at_once() {
--- a/crates/mimosa-schedule/tests/fleet/world.rs
+++ b/crates/mimosa-schedule/tests/fleet/world.rs
@@ -63,6 +63,7 @@
         target_left: Duration::from_millis(900),
         patience_left: Duration::from_millis(3_600),
         data_centre: "north".parse().unwrap(),
+        avoid: Vec::new(),
         prefilled: None,
     }
 }
