Open the disk again after a write failed, instead of stopping the replicated log for good

A write on a full disk stopped the log of that instance until its process was restarted; the process went on, still telling that it led. A second full disk 17 s later left one of three voters.

The store is now closed after a failed write and opened again after 250 ms, growing to 2 s. The replica starts anew on what stands there, as after a restart of the process; the applied state is kept and entries that it holds are not applied twice. Meanwhile the instance tells that it is stopped.

--- a/crates/mimosa-control/src/replicator.rs
+++ b/crates/mimosa-control/src/replicator.rs
@@ -34,7 +34,8 @@
 /// How this instance stands in the replicated log.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
 pub struct ReplicaStatus {
-    /// Its role, as a word: `leader`, `follower`, `candidate` or `learner`.
+    /// Its role, as a word: `leader`, `follower`, `candidate`, `learner`, or `stopped` while its
+    /// disk takes no writes.
     pub role: String,
     /// Whether this instance, in its present life, has a vote. After the loss of a disk the repair
     /// is done once this is true again.
--- a/crates/mimosa-control/src/replicator/replicated/core.rs
+++ b/crates/mimosa-control/src/replicator/replicated/core.rs
@@ -23,6 +23,7 @@
 use mimosa_consensus::Event;
 use mimosa_consensus::LogIndex;
 use mimosa_consensus::Payload;
+use mimosa_consensus::Persist;
 use mimosa_consensus::ProposalRefusal;
 use mimosa_consensus::Replica;
 use mimosa_consensus::ReplicaId;
@@ -30,12 +31,14 @@
 use mimosa_consensus::Snapshot;
 use mimosa_consensus::Ticket;
 use mimosa_protocol::Error;
+use mimosa_protocol::InstanceId;
 use mimosa_protocol::Result;
 use mimosa_protocol::Timestamp;
 use mimosa_state::Command;
 use mimosa_state::Machine;
 use mimosa_state::Operation;
 use mimosa_storage::LogStore;
+use mimosa_storage::RecordIndex;
 
 use crate::clock;
 use crate::peer::PeerMessage;
@@ -43,6 +46,7 @@
 use crate::replicator::ReplicaStatus;
 use crate::replicator::replicated::disk;
 use crate::replicator::replicated::disk::Opened;
+use crate::replicator::replicated::disk::Opener;
 use crate::replicator::replicated::input::Input;
 use crate::replicator::replicated::input::ProposeFailure;
 use crate::replicator::replicated::waiters::ResultReply;
@@ -53,6 +57,10 @@
 const MAX_BATCH: usize = 1_024;
 /// How long the thread sleeps at most.
 const MAX_SLEEP: Duration = Duration::from_secs(1);
+/// Time before the disk is opened again after a write failed, and how long it grows to when that
+/// fails: a full disk has room again when somebody made it.
+const FIRST_REOPEN_PAUSE: Duration = Duration::from_millis(250);
+const MAX_REOPEN_PAUSE: Duration = Duration::from_secs(2);
 /// How long a leader tries to hand its leadership on at a shutdown.
 const TRANSFER_TIME: Duration = Duration::from_millis(300);
 
@@ -85,7 +93,15 @@
 /// The driving thread's state.
 struct Core {
     replica: Replica,
-    store: Box<dyn LogStore>,
+    /// None while the disk takes no writes.
+    store: Option<Box<dyn LogStore>>,
+    opener: Opener,
+    settings: mimosa_consensus::Settings,
+    /// Instances that were found besides those of the settings.
+    found: BTreeSet<InstanceId>,
+    /// The last record that is known to be on the disk.
+    synced: RecordIndex,
+    reopen: Option<Reopen>,
     shared: Arc<Shared>,
     outbound: Arc<Outbound>,
     waiters: Waiters,
@@ -100,6 +116,12 @@
     fault: Option<String>,
 }
 
+/// When the disk is opened again.
+struct Reopen {
+    at: Timestamp,
+    pause: Duration,
+}
+
 impl CoreHandle {
     /// Starts the thread on an open disk.
     ///
@@ -108,17 +130,23 @@
     /// If the disk cannot be written or the thread cannot be started.
     pub fn start(
         opened: Opened,
+        opener: Opener,
         settings: mimosa_consensus::Settings,
         shared: Arc<Shared>,
         outbound: Arc<Outbound>,
     ) -> Result<Self> {
         let (inputs, rx) = mpsc::channel();
         let status = SharedStatus::default();
-        let (replica, actions) =
-            Replica::start(Timestamp::ZERO, opened.id, opened.durable, settings);
+        let Opened { store, id, durable } = opened;
+        let (replica, actions) = Replica::start(Timestamp::ZERO, id, durable, settings.clone());
         let mut core = Core {
             replica,
-            store: opened.store,
+            synced: store.last_index(),
+            store: Some(store),
+            opener,
+            settings,
+            found: BTreeSet::new(),
+            reopen: None,
             shared,
             outbound,
             waiters: Waiters::default(),
@@ -208,6 +236,7 @@
                 }
                 self.take_in(input);
             }
+            self.reopen_if_due();
             self.handle(Event::Wake);
             self.sync();
             self.waiters.forget_the_gone();
@@ -220,7 +249,11 @@
     }
 
     fn sleep_time(&self) -> Duration {
-        let until_wake = self.wake_at.map(|at| at.since(self.now()));
+        let wake_at = match &self.reopen {
+            Some(reopen) => Some(reopen.at),
+            None => self.wake_at,
+        };
+        let until_wake = wake_at.map(|at| at.since(self.now()));
         until_wake.unwrap_or(MAX_SLEEP).min(MAX_SLEEP)
     }
 
@@ -239,7 +272,10 @@
                 self.waiters.until_applied(index, reply);
                 self.waiters.applied_up_to(self.applied);
             }
-            Input::MorePeers(peers) => self.handle(Event::MorePeers(peers)),
+            Input::MorePeers(peers) => {
+                self.found.extend(peers.iter().cloned());
+                self.handle(Event::MorePeers(peers));
+            }
             Input::Transfer => self.handle(Event::TransferLeadership),
             Input::Stop => {}
         }
@@ -271,9 +307,13 @@
     /// Makes durable what was written, and tells the replica, until nothing new was written.
     fn sync(&mut self) {
         while let Some(ticket) = self.unsynced.take() {
-            if let Err(e) = self.store.sync() {
+            let Some(store) = &mut self.store else {
+                return;
+            };
+            if let Err(e) = store.sync() {
                 return self.fail(&e);
             }
+            self.synced = store.last_index();
             self.handle(Event::Persisted { ticket });
         }
     }
@@ -290,16 +330,12 @@
                 let to = message.to.clone();
                 self.outbound.send(&to, PeerMessage::Consensus(message));
             }
-            Action::Persist(persist) => match disk::write(self.store.as_mut(), &persist) {
-                Ok(()) => self.unsynced = self.unsynced.max(Some(persist.ticket)),
-                Err(e) => self.fail(&e),
-            },
+            Action::Persist(persist) => self.persist(&persist),
             Action::Apply { entries } => entries.into_iter().for_each(|entry| self.apply(entry)),
             Action::ApplySnapshot(snapshot) => self.apply_snapshot(&snapshot),
             Action::TakeSnapshot { index } => {
-                let bytes = self.shared.read(Machine::encode);
-                self.follow_ups
-                    .push_back(Event::SnapshotTaken { index, bytes });
+                let taken = self.take_snapshot(index);
+                self.follow_ups.push_back(taken);
             }
             Action::Proposed { id, index, term } => self.waiters.proposed(id, index, term),
             Action::ProposalRefused { id, reason, leader } => {
@@ -321,7 +357,39 @@
         }
     }
 
+    /// Encodes the applied state. After the disk was opened again the state may be ahead of the
+    /// replica: then there is no snapshot yet, and it asks once more.
+    fn take_snapshot(&self, index: LogIndex) -> Event {
+        let is_at = index == self.applied;
+        Event::SnapshotTaken {
+            index: if is_at { index } else { LogIndex::ZERO },
+            bytes: if is_at {
+                self.shared.read(Machine::encode)
+            } else {
+                Vec::new()
+            },
+        }
+    }
+
+    fn persist(&mut self, persist: &Persist) {
+        let Some(store) = &mut self.store else {
+            return;
+        };
+        if let Some(from) = persist.truncate_from {
+            // What replaces the removed records is not on the disk yet.
+            self.synced = self.synced.min(RecordIndex(from.0.saturating_sub(1)));
+        }
+        match disk::write(store.as_mut(), persist) {
+            Ok(()) => self.unsynced = self.unsynced.max(Some(persist.ticket)),
+            Err(e) => self.fail(&e),
+        }
+    }
+
     fn apply(&mut self, entry: Entry) {
+        if entry.index <= self.applied {
+            // Applied before the disk was opened again.
+            return;
+        }
         let result = match entry.payload {
             Payload::Command(bytes) => match Command::decode(&bytes) {
                 Ok(command) => Some(self.shared.apply(entry.index.get(), command)),
@@ -338,6 +406,10 @@
     }
 
     fn apply_snapshot(&mut self, snapshot: &Snapshot) {
+        if snapshot.meta.index <= self.applied && self.applied > LogIndex::ZERO {
+            // Applied before the disk was opened again.
+            return;
+        }
         match Machine::decode(&snapshot.bytes) {
             Ok(machine) => self.shared.replace(machine),
             Err(e) => {
@@ -352,13 +424,61 @@
 
     fn fail(&mut self, e: &Error) {
         let fault = disk::describe(e);
-        error!("the replicated log stops: {fault}");
+        error!("dependency=disk state=lost reason=\"{fault}\"");
         self.fault = Some(fault);
         self.unsynced = None;
+        self.follow_ups.clear();
         self.waiters = Waiters::default();
+        // Its lock must be free when the disk is opened again.
+        self.store = None;
+        self.reopen = Some(Reopen {
+            at: self.now() + FIRST_REOPEN_PAUSE,
+            pause: FIRST_REOPEN_PAUSE,
+        });
+    }
+
+    /// Opens the disk again after a write failed, and starts the replica anew on what stands there,
+    /// as a restart of the process would.
+    fn reopen_if_due(&mut self) {
+        let now = self.now();
+        let Some(reopen) = self.reopen.as_mut().filter(|reopen| now >= reopen.at) else {
+            return;
+        };
+        match self.opener.reopen(self.synced) {
+            Ok(Opened { store, id, durable }) => {
+                self.reopen = None;
+                self.fault = None;
+                self.wake_at = None;
+                self.synced = store.last_index();
+                self.store = Some(store);
+                info!("dependency=disk state=regained last_record={}", self.synced);
+                let (replica, actions) = Replica::start(now, id, durable, self.settings.clone());
+                self.replica = replica;
+                self.carry_out(actions);
+                let found = self.found.iter().cloned().collect();
+                self.handle(Event::MorePeers(found));
+            }
+            Err(e) => {
+                reopen.pause = (reopen.pause * 2).min(MAX_REOPEN_PAUSE);
+                reopen.at = now + reopen.pause;
+                let fault = disk::describe(&e);
+                warn!("dependency=disk state=lost reason=\"{fault}\"");
+                self.fault = Some(fault);
+            }
+        }
     }
 
     fn report(&self) {
+        if self.store.is_none() {
+            return self.status.set(ReplicaStatus {
+                role: "stopped".to_owned(),
+                votes: false,
+                leader: None,
+                leads_from: 0,
+                fault: self.fault.clone(),
+                ..self.status.get()
+            });
+        }
         let members = self.replica.committed_membership();
         let names =
             |ids: &BTreeSet<ReplicaId>| ids.iter().map(|id| id.instance.to_string()).collect();
--- a/crates/mimosa-control/src/server.rs
+++ b/crates/mimosa-control/src/server.rs
@@ -36,8 +36,10 @@
 use crate::replicator::Replicator;
 use crate::replicator::replicated::calls::Calls;
 use crate::replicator::replicated::core::CoreHandle;
-use crate::replicator::replicated::disk;
+use crate::replicator::replicated::disk::Folder;
+use crate::replicator::replicated::disk::OpenStore;
 use crate::replicator::replicated::disk::Opened;
+use crate::replicator::replicated::disk::Opener;
 use crate::routing::Outside;
 use crate::routing::RoutingOrders;
 use crate::routing::balancer::Balancer;
@@ -61,6 +63,7 @@
 /// A control instance whose addresses are bound.
 pub struct Bound {
     settings: Settings,
+    store: Arc<dyn OpenStore>,
     admin: TcpListener,
     entry: TcpListener,
     peer: TcpListener,
@@ -122,6 +125,7 @@
             peer: address(&peer)?,
         };
         Ok(Bound {
+            store: Arc::new(Folder(settings.data_folder.clone())),
             settings,
             admin,
             entry,
@@ -137,6 +141,12 @@
         self.addresses.peer
     }
 
+    /// Keeps what must survive in another store than the data folder.
+    #[must_use]
+    pub fn with_store(self, store: Arc<dyn OpenStore>) -> Self {
+        Self { store, ..self }
+    }
+
     /// Opens the data folder and starts the tasks, with every control instance's peer address.
     ///
     /// # Errors
@@ -170,8 +180,9 @@
             dispatcher: None,
             tasks: JoinSet::new(),
         };
-        let opened = assembly.open_folder().await?;
-        let replicator = assembly.join_cluster(opened, self.peer)?;
+        let opener = Opener::new(Arc::clone(&assembly.settings), self.store);
+        let (opened, opener) = open(opener).await?;
+        let replicator = assembly.join_cluster(opened, opener, self.peer)?;
         let (stop, stopped) = watch::channel(false);
         let router = match outside {
             Some(outside) => {
@@ -205,17 +216,11 @@
 }
 
 impl Assembly {
-    async fn open_folder(&self) -> Result<Opened> {
-        let settings = Arc::clone(&self.settings);
-        tokio::task::spawn_blocking(move || disk::open(&settings))
-            .await
-            .expect("opening a folder does not panic")
-    }
-
     /// Starts the replicated log and its connections to the other control instances.
     fn join_cluster(
         &mut self,
         opened: Opened,
+        opener: Opener,
         listener: TcpListener,
     ) -> Result<Arc<dyn Replicator>> {
         let settings = &self.settings;
@@ -228,7 +233,7 @@
         let calls = Arc::new(Calls::default());
         let consensus = consensus_settings(settings, random_seed());
         let shared = Arc::clone(&self.shared);
-        let core = CoreHandle::start(opened, consensus, shared, Arc::clone(&outbound))?;
+        let core = CoreHandle::start(opened, opener, consensus, shared, Arc::clone(&outbound))?;
         self.discovered = settings.discovery.clone().map(|discovery| {
             let (tx, heard) = mpsc::unbounded_channel();
             let search = Search {
@@ -403,6 +408,14 @@
     }
 }
 
+async fn open(opener: Opener) -> Result<(Opened, Opener)> {
+    let opening = tokio::task::spawn_blocking(move || {
+        let opened = opener.open();
+        opened.map(|opened| (opened, opener))
+    });
+    opening.await.expect("opening a folder does not panic")
+}
+
 async fn is_founded(settings: &Settings) -> bool {
     let peers: Vec<SocketAddr> = settings.peers().map(|(_, address)| *address).collect();
     founding::is_founded(&hello(settings), peers).await
--- a/crates/mimosa-control/tests/cluster.rs
+++ b/crates/mimosa-control/tests/cluster.rs
@@ -8,12 +8,17 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
+use mimosa_control::Bound;
 use mimosa_control::ControlServer;
 use mimosa_control::Running;
 use mimosa_control::Settings;
+use mimosa_control::replicator::replicated::disk::OpenStore;
 use mimosa_protocol::InstanceId;
+use mimosa_storage::LogStore;
+use mimosa_storage::fault::FaultyDisk;
 use serde_json::Value;
 use serde_json::json;
 use tempfile::TempDir;
@@ -87,8 +92,22 @@
     }
 }
 
+/// A disk that fails as it is told to.
+struct Faulty(FaultyDisk);
+
+impl OpenStore for Faulty {
+    fn open(
+        &self,
+        settings: mimosa_storage::Settings,
+    ) -> mimosa_protocol::Result<Box<dyn LogStore>> {
+        Ok(Box::new(self.0.open(settings)?))
+    }
+}
+
 /// Control instances `c-1` to `c-n`.
 pub struct Cluster {
+    /// The disks, where they are not folders.
+    disks: Vec<FaultyDisk>,
     folders: Vec<TempDir>,
     settings: Vec<Settings>,
     running: Vec<Option<Running>>,
@@ -103,7 +122,22 @@
 
     /// Starts instances with changed settings.
     pub async fn start_with(count: usize, change: impl Fn(Settings) -> Settings) -> Self {
+        Self::start_on(count, Vec::new(), change).await
+    }
+
+    /// Starts instances on disks that can fail.
+    pub async fn start_on_faulty_disks(count: usize) -> Self {
+        let disks = (1..).map(FaultyDisk::new).take(count).collect();
+        Self::start_on(count, disks, |settings| settings).await
+    }
+
+    async fn start_on(
+        count: usize,
+        disks: Vec<FaultyDisk>,
+        change: impl Fn(Settings) -> Settings,
+    ) -> Self {
         let mut cluster = Self {
+            disks,
             folders: Vec::new(),
             settings: Vec::new(),
             running: Vec::new(),
@@ -116,7 +150,7 @@
                 found: at == 0,
                 ..fast_settings(at, folder.path())
             });
-            let one = ControlServer::bind(settings.clone()).await.unwrap();
+            let one = cluster.bind(at, settings.clone()).await;
             cluster.settings.push(settings);
             cluster.folders.push(folder);
             bound.push(one);
@@ -138,6 +172,32 @@
         cluster
     }
 
+    async fn bind(&self, at: usize, settings: Settings) -> Bound {
+        let bound = ControlServer::bind(settings).await.unwrap();
+        match self.disks.get(at) {
+            Some(disk) => bound.with_store(Arc::new(Faulty(disk.clone()))),
+            None => bound,
+        }
+    }
+
+    /// The disk of an instance.
+    pub fn disk(&self, at: usize) -> &FaultyDisk {
+        &self.disks[at]
+    }
+
+    /// Waits until an instance takes part again, and can prove that it is current.
+    pub async fn until_well(&self, at: usize) {
+        let mut looks = Looks::default();
+        loop {
+            let status = self.status(at).await;
+            let replica = &status["replica"];
+            if replica["fault"].is_null() && replica["votes"] == true && status["current"] == true {
+                return;
+            }
+            looks.pause().await;
+        }
+    }
+
     /// The instance at a place.
     pub fn at(&self, at: usize) -> &Running {
         self.running[at].as_ref().unwrap()
@@ -150,9 +210,7 @@
 
     /// Starts a killed instance again, at other ports.
     pub async fn restart(&mut self, at: usize) {
-        let bound = ControlServer::bind(self.settings[at].clone())
-            .await
-            .unwrap();
+        let bound = self.bind(at, self.settings[at].clone()).await;
         self.links
             .iter()
             .filter(|((_, to), _)| *to == at)
--- a/crates/mimosa-gateway/tests/events.rs
+++ b/crates/mimosa-gateway/tests/events.rs
@@ -30,11 +30,17 @@
 fn a_stream_that_goes_on_repeats_nothing() {
     let mut events = WholeEvents::default();
     let begun = event(1) + &event(2) + "id: 3\nda";
-    expect_that!(text(events.add(begun.as_bytes())), eq(&(event(1) + &event(2))));
+    expect_that!(
+        text(events.add(begun.as_bytes())),
+        eq(&(event(1) + &event(2)))
+    );
     expect_that!(events.last(), some(eq("2")));
     events.restart();
     let rest = event(2) + &event(3) + &event(4);
-    expect_that!(text(events.add(rest.as_bytes())), eq(&(event(3) + &event(4))));
+    expect_that!(
+        text(events.add(rest.as_bytes())),
+        eq(&(event(3) + &event(4)))
+    );
     expect_that!(text(events.rest()), eq(""));
 }
 
