Replace connections between control instances that went silent

Connections that go silent while new ones work were never replaced between control instances: each instance only writes on its own connection to another, and writes into a silent connection succeed as long as its next hop takes them. All three stayed candidates for good.

An instance now asks for a sign every 500 ms on each connection and gives it up after 2 s without one. Gateways had the same by the heartbeats of control instances.

Ruled out: the kernel's keep-alive and user timeout (set already; they see only the next hop).

Test: three instances whose connections go silent three times, each time before an order; on the old code it never ends.

--- a/crates/mimosa-control/src/peer.rs
+++ b/crates/mimosa-control/src/peer.rs
@@ -1,7 +1,8 @@
 //! What control instances say to each other, over TCP with `postcard` frames.
 //!
 //! Each instance opens one connection to each other one and only writes to it; answers come back
-//! on the other side's own connection. A message may be lost with its connection.
+//! on the other side's own connection, but for signs that the connection still carries anything. A
+//! message may be lost with its connection.
 
 use mimosa_consensus::LogIndex;
 use mimosa_consensus::Message;
@@ -64,6 +65,10 @@
         AskMembers,
         /// Answers [`PeerMessage::AskMembers`].
         Members(Vec<InstanceId>),
+        /// Asks for a sign that this connection still carries anything.
+        Ping,
+        /// Answers [`PeerMessage::Ping`] on the same connection.
+        Pong,
         /// What the sender hears from its entries.
         InForce(Vec<(InstanceId, EntryReport)>),
     }
--- a/crates/mimosa-control/src/peer/inbound.rs
+++ b/crates/mimosa-control/src/peer/inbound.rs
@@ -106,6 +106,7 @@
                     let is_founded = !self.status.get().voters.is_empty();
                     frame::write(stream, &PeerMessage::Founded(is_founded)).await?;
                 }
+                PeerMessage::Ping => frame::write(stream, &PeerMessage::Pong).await?,
                 PeerMessage::AskMembers => {
                     let status = self.status.get();
                     let members = status.voters.iter().chain(&status.learners);
@@ -119,7 +120,9 @@
                         }
                     }
                 }
-                PeerMessage::Hello { .. } | PeerMessage::Founded(_) => return Ok(()),
+                PeerMessage::Hello { .. } | PeerMessage::Founded(_) | PeerMessage::Pong => {
+                    return Ok(());
+                }
             }
         }
         Ok(())
--- a/crates/mimosa-control/src/peer/outbound.rs
+++ b/crates/mimosa-control/src/peer/outbound.rs
@@ -12,7 +12,11 @@
 use mimosa_transport::frame;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -22,6 +26,10 @@
 const QUEUED_MESSAGES: usize = 4_096;
 /// How long a connection may take to open, and one message to leave.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time between two signs that are asked of a connection: it may go silent without an end.
+const PING_PERIOD: Duration = Duration::from_millis(500);
+/// Time without a sign after which a connection is given up: some periods, and less than a lease.
+const SILENCE: Duration = Duration::from_secs(2);
 /// Time before a connection is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -111,23 +119,40 @@
         }
     }
 
-    /// Writes until the connection breaks; `None` once the queue is closed.
-    async fn write(&mut self, mut stream: TcpStream) -> Option<()> {
+    /// Writes until the connection breaks or is silent; `None` once the queue is closed.
+    async fn write(&mut self, stream: TcpStream) -> Option<()> {
         mimosa_transport::socket::prepare(&stream);
-        let hello = self.hello.clone();
-        let mut next = Some(hello);
+        let (signs, writer) = stream.into_split();
+        tokio::select! {
+            written = self.write_all(writer) => written,
+            () = hear_signs(signs) => Some(()),
+        }
+    }
+
+    async fn write_all(&mut self, mut writer: OwnedWriteHalf) -> Option<()> {
+        let mut pings = interval(PING_PERIOD);
+        pings.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut next = Some(self.hello.clone());
         loop {
             let message = match next.take() {
                 Some(message) => message,
-                None => self.queue.recv().await?,
+                None => tokio::select! {
+                    message = self.queue.recv() => message?,
+                    _ = pings.tick() => PeerMessage::Ping,
+                },
             };
             let Ok(buf) = frame::encode(&message) else {
                 continue;
             };
-            match timeout(CONNECT_TIMEOUT, stream.write_all(&buf)).await {
+            match timeout(CONNECT_TIMEOUT, writer.write_all(&buf)).await {
                 Ok(Ok(())) => {}
                 _ => return Some(()),
             }
         }
     }
 }
+
+/// Returns when the other side gives no sign any more.
+async fn hear_signs(mut signs: OwnedReadHalf) {
+    while let Ok(Ok(Some(PeerMessage::Pong))) = timeout(SILENCE, frame::read(&mut signs)).await {}
+}
--- a/crates/mimosa-control/tests/cluster.rs
+++ b/crates/mimosa-control/tests/cluster.rs
@@ -35,6 +35,8 @@
 pub struct Link {
     address: SocketAddr,
     open: watch::Sender<bool>,
+    /// Counts the times when everything open went silent.
+    silences: watch::Sender<u64>,
     target: watch::Sender<SocketAddr>,
     task: JoinHandle<()>,
 }
@@ -45,16 +47,20 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (open, is_open) = watch::channel(true);
+        let (silences, silenced) = watch::channel(0);
         let (target, target_now) = watch::channel(target);
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let target = *target_now.borrow();
-                tokio::spawn(carry(stream, target, is_open.clone()));
+                let mut silenced = silenced.clone();
+                silenced.mark_unchanged();
+                tokio::spawn(carry(stream, target, is_open.clone(), silenced));
             }
         });
         Self {
             address,
             open,
+            silences,
             target,
             task,
         }
@@ -79,16 +85,27 @@
     }
 }
 
-async fn carry(mut stream: TcpStream, target: SocketAddr, mut is_open: watch::Receiver<bool>) {
+async fn carry(
+    mut stream: TcpStream,
+    target: SocketAddr,
+    mut is_open: watch::Receiver<bool>,
+    mut silenced: watch::Receiver<u64>,
+) {
     if !*is_open.borrow() {
         return;
     }
     let Ok(mut onward) = TcpStream::connect(target).await else {
         return;
     };
-    tokio::select! {
-        _ = copy_bidirectional(&mut stream, &mut onward) => {}
-        _ = is_open.wait_for(|open| !open) => {}
+    let is_silenced = tokio::select! {
+        _ = copy_bidirectional(&mut stream, &mut onward) => false,
+        _ = is_open.wait_for(|open| !open) => false,
+        Ok(()) = silenced.changed() => true,
+    };
+    if is_silenced {
+        // Bytes are still taken from the sender and never arrive.
+        let mut nowhere = tokio::io::sink();
+        tokio::io::copy(&mut stream, &mut nowhere).await.ok();
     }
 }
 
@@ -243,6 +260,13 @@
             });
     }
 
+    /// Lets every open connection carry nothing any more; new ones work.
+    pub fn silence(&self) {
+        for link in self.links.values() {
+            link.silences.send_modify(|count| *count += 1);
+        }
+    }
+
     /// The status as an instance tells it.
     pub async fn status(&self, at: usize) -> Value {
         let admin = self.at(at).admin_address();
--- a/crates/mimosa-control/tests/failures.rs
+++ b/crates/mimosa-control/tests/failures.rs
@@ -56,6 +56,16 @@
     }
 });
 
+cluster_test!(connections_that_go_silent_are_replaced, async {
+    let cluster = Cluster::start(3).await;
+    for rate in 1..=3 {
+        cluster.silence();
+        cluster.accept(2 * rate, account(rate)).await;
+    }
+    let expected = cluster.configuration(cluster.leader().await).await;
+    expect_that!(expected["revision"], eq(&json!(3)));
+});
+
 cluster_test!(all_instances_restart_after_hundreds_of_changes, async {
     let settings = |settings: Settings| Settings {
         snapshot_after: 64,
