--- a/crates/mimosa-gateway/src/resume.rs
+++ b/crates/mimosa-gateway/src/resume.rs
@@ -41,10 +41,10 @@
     pub(crate) tried: Tried,
 }
 
-type GoingOn = Pin<Box<dyn Future<Output = (Origin, Result<Body, Failure>)> + Send>>;
+type GoingOn = Pin<Box<dyn Future<Output = (Box<Origin>, Result<Body, Failure>)> + Send>>;
 
 enum Source {
-    Open(Body, Origin),
+    Open(Body, Box<Origin>),
     Resuming(GoingOn),
     /// Only while one of the others is replaced, and after the end.
     Ended,
@@ -65,7 +65,7 @@
     let last = origin.shared.dialect.last_event(&origin.whole.headers);
     response.map(|body| {
         let resumable = Resumable {
-            source: Source::Open(body, origin),
+            source: Source::Open(body, Box::new(origin)),
             events: WholeEvents::behind(last),
             silence,
             silent: Box::pin(sleep(silence)),
@@ -145,7 +145,10 @@
     }
 
     /// Runs the rest of the stream.
-    async fn go_on(mut self, last: Option<String>) -> (Self, Result<Body, Failure>) {
+    async fn go_on(
+        mut self: Box<Self>,
+        last: Option<String>,
+    ) -> (Box<Self>, Result<Body, Failure>) {
         if let Some(last) = last {
             let headers = &mut self.whole.headers;
             self.shared.dialect.set_last_event(headers, &last);
@@ -156,7 +159,7 @@
             request,
             whole,
             tried,
-        } = &mut self;
+        } = self.as_mut();
         let attempt = &request.facts.attempt;
         let body = match model::run_anywhere(shared, request, whole, tried).await {
             Ok(response) if response.status().is_success() => {
