--- a/crates/mimosa-control/src/replicator/replicated/core.rs
+++ b/crates/mimosa-control/src/replicator/replicated/core.rs
@@ -39,6 +39,7 @@
 use mimosa_state::Operation;
 use mimosa_storage::LogStore;
 use mimosa_storage::RecordIndex;
+use prometheus::Histogram;
 
 use crate::clock;
 use crate::peer::PeerMessage;
@@ -95,6 +96,7 @@
     replica: Replica,
     /// None while the disk takes no writes.
     store: Option<Box<dyn LogStore>>,
+    sync_time: Histogram,
     opener: Opener,
     settings: mimosa_consensus::Settings,
     /// Instances that were found besides those of the settings.
@@ -134,6 +136,7 @@
         settings: mimosa_consensus::Settings,
         shared: Arc<Shared>,
         outbound: Arc<Outbound>,
+        sync_time: Histogram,
     ) -> Result<Self> {
         let (inputs, rx) = mpsc::channel();
         let status = SharedStatus::default();
@@ -143,6 +146,7 @@
             replica,
             synced: store.last_index(),
             store: Some(store),
+            sync_time,
             opener,
             settings,
             found: BTreeSet::new(),
@@ -310,7 +314,10 @@
             let Some(store) = &mut self.store else {
                 return;
             };
-            if let Err(e) = store.sync() {
+            let timer = self.sync_time.start_timer();
+            let synced = store.sync();
+            timer.observe_duration();
+            if let Err(e) = synced {
                 return self.fail(&e);
             }
             self.synced = store.last_index();
--- a/crates/mimosa-control/src/routing/balancer.rs
+++ b/crates/mimosa-control/src/routing/balancer.rs
@@ -20,6 +20,7 @@
 use crate::routing::EngineOrders;
 use crate::routing::OrderStamp;
 use crate::routing::dispatch::Dispatcher;
+use crate::routing::metrics::Metrics;
 
 /// Time between two looks at whether a change helps.
 const LOOK_PERIOD: Duration = Duration::from_millis(500);
@@ -38,6 +39,8 @@
     pub replicator: Arc<dyn Replicator>,
     /// The schedulers.
     pub dispatcher: Arc<Dispatcher>,
+    /// What is counted.
+    pub metrics: Metrics,
     /// Where orders go.
     pub engines: Arc<dyn EngineOrders>,
     /// How long an earlier leader may still give orders.
@@ -64,6 +67,7 @@
             sleep(LOOK_PERIOD).await;
             let status = self.replicator.status();
             if status.role != "leader" {
+                self.metrics.may_order(false);
                 leads_since = None;
                 continue;
             }
@@ -72,9 +76,10 @@
                 leads_since = None;
                 continue;
             }
-            let may_order = since.elapsed() > self.lease * 2
-                && ordered.is_none_or(|at| at.elapsed() >= ORDER_PAUSE);
-            if !may_order {
+            let holds_lease = since.elapsed() > self.lease * 2;
+            self.metrics.may_order(holds_lease);
+            let is_time = ordered.is_none_or(|at| at.elapsed() >= ORDER_PAUSE);
+            if !holds_lease || !is_time {
                 continue;
             }
             let Some(change) = self.dispatcher.better_role() else {
--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -230,6 +230,7 @@
             }
             GatewayMessage::Borrow { account, wanted } => {
                 let lent = inner.quotas.lend(now, &account, wanted);
+                self.metrics.lent(wanted, lent);
                 inner.send(gateway, ControlMessage::Lent { account, lent });
             }
             GatewayMessage::Holding { numbers } => inner.reconcile(now, gateway, &numbers),
--- a/crates/mimosa-control/src/routing/metrics.rs
+++ b/crates/mimosa-control/src/routing/metrics.rs
@@ -2,6 +2,9 @@
 
 use std::sync::Arc;
 
+use mimosa_protocol::Tokens;
+use prometheus::Histogram;
+use prometheus::HistogramOpts;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
 use prometheus::IntGaugeVec;
@@ -20,8 +23,16 @@
     committed: IntGauge,
     leads: IntGauge,
     gateways: IntGauge,
+    may_order: IntGauge,
+    lent: IntCounterVec,
+    sync_time: Histogram,
 }
 
+/// Upper bounds of the buckets of a sync, in seconds: from a cache to a disk that hangs.
+const SYNC_BUCKETS: [f64; 10] = [
+    0.0005, 0.001, 0.002, 0.005, 0.01, 0.025, 0.1, 0.5, 2.0, 10.0,
+];
+
 impl Default for Metrics {
     fn default() -> Self {
         let registry = Registry::new();
@@ -52,11 +63,33 @@
         );
         let leads = gauge("mimosa_control_leads", "1 while this instance leads");
         let gateways = gauge("mimosa_control_gateways", "Gateways that are connected");
+        let may_order = gauge(
+            "mimosa_control_may_order",
+            "1 while this instance leads and every earlier leader's lease on orders has ended",
+        );
+        let lent = IntCounterVec::new(
+            Opts::new(
+                "mimosa_control_quota_slices_total",
+                "Slices of quotas that gateways asked for, by how much they got",
+            ),
+            &["got"],
+        );
+        let lent = lent.expect("the name is valid");
+        let sync_time = Histogram::with_opts(
+            HistogramOpts::new(
+                "mimosa_control_sync_seconds",
+                "Time of a sync of the replicated log",
+            )
+            .buckets(SYNC_BUCKETS.to_vec()),
+        );
+        let sync_time = sync_time.expect("the name is valid");
         let decisions = decisions.expect("the name is valid");
         let requests = requests.expect("the name is valid");
         for collector in [
             Box::new(decisions.clone()) as Box<dyn prometheus::core::Collector>,
             Box::new(requests.clone()),
+            Box::new(lent.clone()),
+            Box::new(sync_time.clone()),
         ] {
             registry
                 .register(collector)
@@ -70,6 +103,9 @@
             committed,
             leads,
             gateways,
+            may_order,
+            lent,
+            sync_time,
         }))
     }
 }
@@ -80,6 +116,24 @@
         self.0.registry.clone()
     }
 
+    /// Where the times of syncs go.
+    pub(crate) fn sync_time(&self) -> Histogram {
+        self.0.sync_time.clone()
+    }
+
+    pub(crate) fn may_order(&self, may: bool) {
+        self.0.may_order.set(i64::from(may));
+    }
+
+    pub(crate) fn lent(&self, wanted: Tokens, lent: Tokens) {
+        let got = match lent {
+            Tokens::ZERO => "nothing",
+            lent if lent < wanted => "less",
+            _ => "all",
+        };
+        self.0.lent.with_label_values(&[got]).inc();
+    }
+
     pub(crate) fn decided(&self, outcome: &str) {
         self.0.decisions.with_label_values(&[outcome]).inc();
     }
--- a/crates/mimosa-control/src/server.rs
+++ b/crates/mimosa-control/src/server.rs
@@ -89,6 +89,7 @@
     in_force: Arc<InForce>,
     discovered: Option<mpsc::UnboundedSender<InstanceId>>,
     dispatcher: Option<Arc<Dispatcher>>,
+    metrics: Metrics,
     tasks: JoinSet<()>,
 }
 
@@ -178,6 +179,7 @@
             in_force: Arc::new(InForce::default()),
             discovered: None,
             dispatcher: None,
+            metrics: Metrics::default(),
             tasks: JoinSet::new(),
         };
         let opener = Opener::new(Arc::clone(&assembly.settings), self.store);
@@ -186,12 +188,12 @@
         let (stop, stopped) = watch::channel(false);
         let router = match outside {
             Some(outside) => {
-                let metrics = Metrics::default();
                 if let Some(address) = assembly.settings.metrics {
-                    let server = MetricsServer::bind(address, metrics.registry()).await?;
+                    let registry = assembly.metrics.registry();
+                    let server = MetricsServer::bind(address, registry).await?;
                     assembly.tasks.spawn(server.run());
                 }
-                assembly.serve_gateways(&replicator, self.entry, outside, metrics)
+                assembly.serve_gateways(&replicator, self.entry, outside)
             }
             None => {
                 assembly.serve_entries(&replicator, self.entry);
@@ -233,7 +235,14 @@
         let calls = Arc::new(Calls::default());
         let consensus = consensus_settings(settings, random_seed());
         let shared = Arc::clone(&self.shared);
-        let core = CoreHandle::start(opened, opener, consensus, shared, Arc::clone(&outbound))?;
+        let core = CoreHandle::start(
+            opened,
+            opener,
+            consensus,
+            shared,
+            Arc::clone(&outbound),
+            self.metrics.sync_time(),
+        )?;
         self.discovered = settings.discovery.clone().map(|discovery| {
             let (tx, heard) = mpsc::unbounded_channel();
             let search = Search {
@@ -299,7 +308,6 @@
         replicator: &Arc<dyn Replicator>,
         listener: TcpListener,
         outside: Outside,
-        metrics: Metrics,
     ) -> Router {
         let (published, endpoints) = watch::channel(Arc::default());
         let reading = listing::run(
@@ -315,7 +323,7 @@
             Arc::clone(&outside.format),
             endpoints.clone(),
             self.settings.quota_tolerance,
-            metrics,
+            self.metrics.clone(),
         ));
         self.dispatcher = Some(Arc::clone(&dispatcher));
         self.tasks.spawn(Arc::clone(&dispatcher).run());
@@ -323,6 +331,7 @@
             own: self.settings.instance.clone(),
             replicator: Arc::clone(replicator),
             dispatcher: Arc::clone(&dispatcher),
+            metrics: self.metrics.clone(),
             engines: outside.engines,
             lease: self.settings.order_lease,
         };
--- a/crates/mimosa-gateway/src/metrics.rs
+++ b/crates/mimosa-gateway/src/metrics.rs
@@ -18,6 +18,8 @@
     calls: IntCounterVec,
     placements: IntCounterVec,
     quota: IntCounterVec,
+    retries: IntCounterVec,
+    resumed: IntCounterVec,
     answer_time: HistogramVec,
     queue_time: HistogramVec,
 }
@@ -65,6 +67,16 @@
                 "Requests counted against a quota, by how",
                 &["how"],
             ),
+            retries: counter(
+                "mimosa_gateway_retries_total",
+                "Requests that would be sent once more, by service and whether the budget let them",
+                &["service", "allowed"],
+            ),
+            resumed: counter(
+                "mimosa_gateway_resumed_streams_total",
+                "Streams that broke and might go on elsewhere, by outcome",
+                &["outcome"],
+            ),
             answer_time: histogram(
                 "mimosa_gateway_answer_seconds",
                 "Time from a request's head to the head of its answer",
@@ -100,6 +112,15 @@
         histogram.observe(waited.as_secs_f64());
     }
 
+    pub(crate) fn retried(&self, service: &str, allowed: bool) {
+        let allowed = if allowed { "yes" } else { "no" };
+        self.retries.with_label_values(&[service, allowed]).inc();
+    }
+
+    pub(crate) fn resumed(&self, outcome: &str) {
+        self.resumed.with_label_values(&[outcome]).inc();
+    }
+
     pub(crate) fn counted(&self, how: &str) {
         self.quota.with_label_values(&[how]).inc();
     }
--- a/crates/mimosa-gateway/src/resume.rs
+++ b/crates/mimosa-gateway/src/resume.rs
@@ -89,6 +89,7 @@
             self.events.last().unwrap_or("none"),
         );
         if !may_resume {
+            origin.shared.metrics.resumed("refused");
             return false;
         }
         self.events.restart();
@@ -164,16 +165,19 @@
         let body = match model::run_anywhere(shared, request, whole, tried).await {
             Ok(response) if response.status().is_success() => {
                 info!("request={attempt} step=resume outcome=started");
+                shared.metrics.resumed("started");
                 Ok(response.into_body())
             }
             Ok(response) => {
                 let status = response.status().as_u16();
                 info!("request={attempt} step=resume outcome=failed status={status}");
+                shared.metrics.resumed("failed");
                 Err(Failure::Lost("the stream does not go on"))
             }
             Err(failure) => {
                 let reason = failure.reason();
                 info!("request={attempt} step=resume outcome=failed reason=\"{reason}\"");
+                shared.metrics.resumed("failed");
                 Err(failure)
             }
         };
--- a/crates/mimosa-gateway/src/server.rs
+++ b/crates/mimosa-gateway/src/server.rs
@@ -59,6 +59,7 @@
 pub struct Running {
     address: SocketAddr,
     readiness: SocketAddr,
+    metrics: Option<SocketAddr>,
     shared: Arc<Shared>,
     stop: Arc<Notify>,
     accepting: JoinHandle<()>,
@@ -88,9 +89,11 @@
             tokio::spawn(control_link::run(Arc::clone(&shared))),
             tokio::spawn(answer_readiness(asked, Arc::clone(&shared))),
         ];
+        let mut served_at = None;
         if let Some(address) = shared.settings.metrics {
             let registry = shared.metrics.registry.clone();
             let metrics = MetricsServer::bind(address, registry).await?;
+            served_at = Some(metrics.address());
             background.push(tokio::spawn(metrics.run()));
         }
         let accepting = tokio::spawn(accept_callers(
@@ -101,6 +104,7 @@
         Ok(Running {
             address,
             readiness,
+            metrics: served_at,
             shared,
             stop,
             accepting,
@@ -120,6 +124,11 @@
         self.readiness
     }
 
+    /// Where metrics are served, if anywhere.
+    pub const fn metrics(&self) -> Option<SocketAddr> {
+        self.metrics
+    }
+
     /// Whether it is connected to the control instance that leads.
     pub fn has_leader(&self) -> bool {
         self.shared.dispatch.has_leader()
--- a/crates/mimosa-gateway/src/shared.rs
+++ b/crates/mimosa-gateway/src/shared.rs
@@ -133,7 +133,9 @@
 
     /// Takes one retry for a service if there is one.
     pub(crate) fn take_retry(&self, now: Timestamp, service: &ServiceId) -> bool {
-        self.with_budget(now, service, |budget| budget.take(now))
+        let allowed = self.with_budget(now, service, |budget| budget.take(now));
+        self.metrics.retried(service.as_str(), allowed);
+        allowed
     }
 
     fn with_budget<T>(
--- a/crates/mimosa-metrics/src/lib.rs
+++ b/crates/mimosa-metrics/src/lib.rs
@@ -4,6 +4,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::LazyLock;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,6 +19,7 @@
 use log::warn;
 use mimosa_protocol::Result;
 use mimosa_transport::accept;
+use prometheus::IntCounter;
 use prometheus::Registry;
 use prometheus::TextEncoder;
 use tokio::net::TcpListener;
@@ -32,21 +34,40 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.9, 1.5, 3.0, 6.0, 15.0,
 ];
 
+/// Log lines of this process that were left out as the output was too slow for them.
+pub static LOG_LINES_LEFT_OUT: LazyLock<IntCounter> = LazyLock::new(|| {
+    let help = "Log lines that were left out as the output was too slow for them";
+    IntCounter::new("mimosa_log_lines_left_out_total", help).expect("the name is valid")
+});
+
 /// Where metrics are served.
 pub struct MetricsServer {
     listener: TcpListener,
+    address: SocketAddr,
     registry: Registry,
 }
 
 impl MetricsServer {
-    /// Binds the address.
+    /// Binds the address. What the whole process counts is added to the registry.
     ///
     /// # Errors
     ///
-    /// [`Error::Network`] if it cannot be bound.
+    /// [`mimosa_protocol::Error::Network`] if it cannot be bound.
     pub async fn bind(address: SocketAddr, registry: Registry) -> Result<Self> {
-        let (listener, _) = accept::bind(address).await?;
-        Ok(Self { listener, registry })
+        let (listener, address) = accept::bind(address).await?;
+        if let Err(e) = registry.register(Box::new(LOG_LINES_LEFT_OUT.clone())) {
+            warn!("the process's own metrics are not served: {e}");
+        }
+        Ok(Self {
+            listener,
+            address,
+            registry,
+        })
+    }
+
+    /// Where they are served.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
     }
 
     /// Answers until the task is aborted.
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -21,6 +21,7 @@
 use miette::IntoDiagnostic;
 use mimosa_config::LogLevel;
 use mimosa_config::LogSettings;
+use mimosa_metrics::LOG_LINES_LEFT_OUT;
 use mimosa_protocol::Timestamp;
 
 /// Lines that wait for the writer at most: some seconds of a busy instance.
@@ -100,15 +101,20 @@
         let waiting = self.waiting.load(Ordering::Relaxed);
         let is_success = level >= Level::Info && SUCCESSES.iter().any(|mark| line.contains(mark));
         if waiting >= MAX_QUEUED || (waiting >= NEARLY_FULL && is_success) {
-            self.left_out.fetch_add(1, Ordering::Relaxed);
+            self.leave_out();
             return;
         }
         self.waiting.fetch_add(1, Ordering::Relaxed);
         if self.lines.send(line).is_err() {
             // The writer is gone with its output; there is nobody to tell.
-            self.left_out.fetch_add(1, Ordering::Relaxed);
+            self.leave_out();
         }
     }
+
+    fn leave_out(&self) {
+        self.left_out.fetch_add(1, Ordering::Relaxed);
+        LOG_LINES_LEFT_OUT.inc();
+    }
 }
 
 /// Writes lines to the standard output.
