--- a/crates/mimosa-gateway/src/server.rs
+++ b/crates/mimosa-gateway/src/server.rs
@@ -129,6 +129,11 @@
         self.metrics
     }
 
+    /// Whether it knows routes and endpoints and does not drain.
+    pub fn is_ready(&self) -> bool {
+        is_ready(&self.shared)
+    }
+
     /// Whether it is connected to the control instance that leads.
     pub fn has_leader(&self) -> bool {
         self.shared.dispatch.has_leader()
@@ -268,13 +273,17 @@
     }
 }
 
+fn is_ready(shared: &Shared) -> bool {
+    !shared.is_draining() && shared.directory.is_complete()
+}
+
 fn readiness(shared: &Shared, request: &Request<Incoming>) -> Response<Body> {
     let status = if !shared.dialect.is_readiness(request.uri().path()) {
         StatusCode::NOT_FOUND
-    } else if shared.is_draining() || !shared.directory.is_complete() {
-        StatusCode::SERVICE_UNAVAILABLE
-    } else {
+    } else if is_ready(shared) {
         StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
     };
     let mut response = Response::new(answer::full(shared.dialect.problem(status, "readiness")));
     *response.status_mut() = status;
--- a/src/command/demo.rs
+++ b/src/command/demo.rs
@@ -35,12 +35,15 @@
 pub const COMMAND: Command = Command {
     name: "demo",
     description: "Runs the whole system with stand-in endpoints in one process on loopback",
-    usage: "",
-    details: "All ports are free ones and the data folder is a temporary one. SIGINT ends it.\n\n",
-    examples: &["demo"],
+    usage: "[--gateway]",
+    details: "All ports are free ones and the data folder is a temporary one. SIGINT ends it.\n  \
+              --gateway  a gateway and a control instance with routes, instead of entries\n\n",
+    examples: &["demo", "demo --gateway"],
     run,
 };
 
+mod gateway;
+
 const CLUSTER: &str = "demo";
 const OPERATOR: &str = "demo";
 const ACCOUNT: &str = "orchid";
@@ -49,23 +52,29 @@
 const TOKEN_GAP: Duration = Duration::from_millis(20);
 
 fn run(mut args: Parser) -> miette::Result<ExitCode> {
-    match args
+    let mut with_gateway = false;
+    while let Some(arg) = args
         .next()
         .map_err(|e| usage(COMMAND.name, e.to_string()))?
     {
-        Some(Arg::Long("help") | Arg::Short('h')) => {
-            print!("{}", COMMAND.help());
-            Ok(ExitCode::SUCCESS)
-        }
-        Some(other) => Err(usage(COMMAND.name, other.unexpected().to_string()).into()),
-        None => {
-            logging::start(&LogSettings {
-                level: LogLevel::Warn,
-                ..LogSettings::default()
-            })?;
-            runtime::run(demo())
+        match arg {
+            Arg::Long("help") | Arg::Short('h') => {
+                print!("{}", COMMAND.help());
+                return Ok(ExitCode::SUCCESS);
+            }
+            Arg::Long("gateway") => with_gateway = true,
+            other => return Err(usage(COMMAND.name, other.unexpected().to_string()).into()),
         }
     }
+    logging::start(&LogSettings {
+        level: LogLevel::Warn,
+        ..LogSettings::default()
+    })?;
+    if with_gateway {
+        runtime::run(gateway::demo())
+    } else {
+        runtime::run(demo())
+    }
 }
 
 /// The stand-in endpoints of one data centre.
--- a/tests/commands/main.rs
+++ b/tests/commands/main.rs
@@ -6,9 +6,10 @@
 use googletest::prelude::*;
 
 /// Commands with a `--help` of their own.
-const COMMANDS: [&str; 12] = [
+const COMMANDS: [&str; 13] = [
     "demo",
     "entry",
+    "gateway",
     "control",
     "check",
     "key",
@@ -21,11 +22,13 @@
     "configuration",
 ];
 /// Settings files that are shipped as examples.
-const EXAMPLES: [&str; 4] = [
+const EXAMPLES: [&str; 6] = [
     "examples/kembang-tekan/entry.toml",
     "examples/kembang-tekan/control.toml",
     "examples/wisla/entry.toml",
     "examples/wisla/control.toml",
+    "examples/routing/gateway.toml",
+    "examples/routing/control.toml",
 ];
 
 fn run(args: &[&str]) -> Output {
--- a/tests/session/main.rs
+++ b/tests/session/main.rs
@@ -3,6 +3,7 @@
 
 mod addresses;
 mod caller;
+mod demo;
 mod failures;
 mod payouts;
 mod process;
--- a/tests/session/process.rs
+++ b/tests/session/process.rs
@@ -49,6 +49,18 @@
         value.to_owned()
     }
 
+    /// Reads lines until one starts so; returns its rest.
+    pub fn told(&mut self, start: &str) -> String {
+        loop {
+            let Ok(line) = self.announced.recv() else {
+                panic!("expected '{start}...', log:\n{}", self.log());
+            };
+            if let Some(rest) = line.trim().strip_prefix(start) {
+                return rest.to_owned();
+            }
+        }
+    }
+
     /// Everything that it logged.
     pub fn log(&self) -> String {
         self.log
