Give up connections to control instances sooner, and try them again

Gateways were connected 1.0 s after their start, the leader was elected 1.0 s after its own, both with everything else done in 0.2 s; meanwhile each request got 503, no configuration.

A connection to a control instance now has 400 ms to be made, as one to an endpoint has; gateways wait 500 ms at most between two tries.

Ruled out: reading the routing document (25 ms) and the election timeout (0.5 s, needed for slow disks).

No unit test: a lost first packet cannot be made on loopback without rights.

--- a/crates/mimosa-control/src/peer/outbound.rs
+++ b/crates/mimosa-control/src/peer/outbound.rs
@@ -24,8 +24,11 @@
 
 /// Messages that wait for one connection; further ones are lost.
 const QUEUED_MESSAGES: usize = 4_096;
-/// How long a connection may take to open, and one message to leave.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a connection may take to open: some round trips between regions. The kernel repeats a
+/// lost first packet after a second only, and peers that start at the same moment lose each other's.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long one message may take to leave.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between two signs that are asked of a connection: it may go silent without an end.
 const PING_PERIOD: Duration = Duration::from_millis(500);
 /// Time without a sign after which a connection is given up: some periods, and less than a lease.
@@ -144,7 +147,7 @@
             let Ok(buf) = frame::encode(&message) else {
                 continue;
             };
-            match timeout(CONNECT_TIMEOUT, writer.write_all(&buf)).await {
+            match timeout(WRITE_TIMEOUT, writer.write_all(&buf)).await {
                 Ok(Ok(())) => {}
                 _ => return Some(()),
             }
--- a/crates/mimosa-gateway/src/control_link.rs
+++ b/crates/mimosa-gateway/src/control_link.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use log::info;
 use log::warn;
@@ -22,6 +23,12 @@
 
 use crate::shared::Shared;
 
+/// Time for a connection to a control instance to be made: some round trips between regions. The
+/// kernel repeats a lost first packet after a second only, as when both start at the same moment.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest wait between two tries: without control a gateway serves little.
+const MAX_BACKOFF: Duration = Duration::from_millis(500);
+
 /// Follows every control instance that becomes known, until the task is aborted.
 pub(crate) async fn run(shared: Arc<Shared>) {
     let (tx, mut heard) = mpsc::unbounded_channel();
@@ -54,6 +61,8 @@
     let address = SocketAddr::new(ip, shared.settings.control_port);
     let settings = link::Settings {
         seed: shared.random(),
+        connect_timeout: CONNECT_TIMEOUT,
+        max_backoff: MAX_BACKOFF,
         ..link::Settings::default()
     };
     loop {
