--- a/crates/mimosa-gateway/src/plain.rs
+++ b/crates/mimosa-gateway/src/plain.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use hyper::Response;
+use hyper::StatusCode;
 use log::info;
+use mimosa_protocol::AccountId;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::configuration::EndpointRole;
 
@@ -61,10 +63,14 @@
         let limit = attempt_time(request, now, repeats && attempts + 1 < most);
         match one(shared, request, whole, &endpoint, limit).await {
             Ok(response) if repeats && response.status().is_server_error() => {
+                log_answer(request, now, &endpoint, response.status(), tried.len());
                 attempts += 1;
                 last = Last::Answer(response);
             }
-            Ok(response) => return Ok(response),
+            Ok(response) => {
+                log_answer(request, now, &endpoint, response.status(), tried.len());
+                return Ok(response);
+            }
             Err(failure) => {
                 attempts += u32::from(failure != CallFailure::NotSent);
                 info!(
@@ -81,6 +87,32 @@
     last.into_result()
 }
 
+/// One line for a request that an endpoint answered, with what decided its way.
+fn log_answer(
+    request: &Identified,
+    sent: Timestamp,
+    endpoint: &EndpointEntry,
+    status: StatusCode,
+    attempts: usize,
+) {
+    let outcome = if status.is_server_error() {
+        "endpoint_failed"
+    } else {
+        "answered"
+    };
+    info!(
+        "request={} step=answer outcome={outcome} status={} endpoint={} attempts={attempts} route={} \
+         account={} routing_version={} sent_after_ms={}",
+        request.facts.attempt,
+        status.as_u16(),
+        endpoint.listed.id,
+        request.route.name,
+        request.account.as_ref().map_or("none", AccountId::as_str),
+        request.table.configuration().version,
+        sent.since(request.arrived).as_millis()
+    );
+}
+
 /// What the attempts came to so far.
 enum Last {
     Nothing,
