--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -123,7 +123,10 @@
             Err(failed) => failed,
         };
         let may_run_again = request.route.repeat.may_resume() && tried.attempts_left > 0;
+        // A later failure does not hide that the request may have run before.
+        let may_have_run = matches!(last, Failure::Lost(_));
         last = match failed {
+            CallFailure::NotSent | CallFailure::NotRun if may_have_run => last,
             CallFailure::NotSent => not_run("an endpoint cannot be reached"),
             CallFailure::NotRun => not_run("an endpoint has no room"),
             CallFailure::Unknown(reason) if may_run_again => Failure::Lost(reason),
@@ -215,6 +218,8 @@
             });
             if !failure.has_not_run() {
                 tried.attempts_left = tried.attempts_left.saturating_sub(1);
+                // A cache serves one run, and this may have been it.
+                tried.cache = None;
             }
             tried.endpoints.push(decode);
             Err(failure)
--- a/src/command/control.rs
+++ b/src/command/control.rs
@@ -21,6 +21,7 @@
 use super::usage;
 use crate::logging;
 use crate::reload::SettingsFile;
+use crate::reload::Signals;
 use crate::runtime;
 use crate::settings;
 
@@ -71,6 +72,7 @@
 }
 
 async fn serve(file: SettingsFile, found: bool) -> miette::Result<ExitCode> {
+    let signals = Signals::watch()?;
     let Settings {
         instance, control, ..
     } = file.settings().clone();
@@ -88,12 +90,12 @@
     println!("admin={}", running.admin_address());
     println!("entries={}", running.entry_address());
     println!("peers={}", running.peer_address());
-    file.follow(|settings| {
+    file.follow(signals, |settings| {
         if let Some(control) = &settings.control {
             running.reload(&settings::control_reloadable(control));
         }
     })
-    .await?;
+    .await;
     running.shutdown().await;
     Ok(ExitCode::SUCCESS)
 }
--- a/src/command/gateway.rs
+++ b/src/command/gateway.rs
@@ -13,6 +13,7 @@
 use super::followed_settings;
 use super::usage;
 use crate::reload::SettingsFile;
+use crate::reload::Signals;
 use crate::runtime;
 use crate::settings;
 
@@ -35,6 +36,7 @@
 }
 
 async fn serve(file: SettingsFile) -> miette::Result<ExitCode> {
+    let signals = Signals::watch()?;
     let Settings {
         instance, gateway, ..
     } = file.settings().clone();
@@ -43,12 +45,12 @@
     let dialect = Arc::new(PlatformHeaders);
     let running = Gateway::start(gateway, dialect, Arc::new(PlatformDocument)).await?;
     println!("callers={}", running.address());
-    file.follow(|settings| {
+    file.follow(signals, |settings| {
         if let Some(gateway) = &settings.gateway {
             running.reload(settings::gateway_reloadable(gateway));
         }
     })
-    .await?;
+    .await;
     running.shutdown().await;
     Ok(ExitCode::SUCCESS)
 }
--- a/src/reload.rs
+++ b/src/reload.rs
@@ -11,17 +11,40 @@
 use miette::IntoDiagnostic;
 use mimosa_config::Settings;
 use mimosa_protocol::Error;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 
-use crate::runtime;
-
 /// Time between two looks at the file: it may change without a signal, and a look is one read of
 /// about a kilobyte.
 const LOOK_PERIOD: Duration = Duration::from_secs(1);
 
+/// The signals of a daemon, watched before it does anything else: one that comes while it starts
+/// must not end it without a word.
+pub struct Signals {
+    interrupt: Signal,
+    terminate: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    /// Watches them, on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// If they cannot be watched.
+    pub fn watch() -> miette::Result<Self> {
+        let watched = |kind| signal(kind).into_diagnostic();
+        Ok(Self {
+            interrupt: watched(SignalKind::interrupt())?,
+            terminate: watched(SignalKind::terminate())?,
+            hangup: watched(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// A settings file that is followed.
 pub struct SettingsFile {
     path: PathBuf,
@@ -54,20 +77,14 @@
 
     /// Hands on the settings after each change of the file, until SIGINT or SIGTERM. SIGHUP makes
     /// it look at once. A file with faults changes nothing.
-    ///
-    /// # Errors
-    ///
-    /// If the signals cannot be watched.
-    pub async fn follow(mut self, mut take: impl FnMut(&Settings)) -> miette::Result<()> {
-        let mut hangup = signal(SignalKind::hangup()).into_diagnostic()?;
-        let stopped = runtime::stop_signal();
-        tokio::pin!(stopped);
+    pub async fn follow(mut self, mut signals: Signals, mut take: impl FnMut(&Settings)) {
         let mut looks = interval(LOOK_PERIOD);
         looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
-                result = &mut stopped => return result,
-                _ = hangup.recv() => {
+                _ = signals.interrupt.recv() => return,
+                _ = signals.terminate.recv() => return,
+                _ = signals.hangup.recv() => {
                     info!("event=reload cause=SIGHUP");
                     self.look(&mut take);
                 }
