Go on in a new log file after a failed sync

After a failed sync the kernel may have dropped what was written to a file, and later syncs of it succeed without it. An instance that opened its disk again went on in the same file and told the leader that records were durable which were not; with one other instance behind, those two elected a leader without them. The records go into a new file now.

--- a/crates/mimosa-control/src/replicator/replicated/disk.rs
+++ b/crates/mimosa-control/src/replicator/replicated/disk.rs
@@ -98,6 +98,7 @@
         if store.last_index() > kept {
             store.truncate_suffix(kept.next())?;
         }
+        store.start_segment()?;
         let state = store.state().to_vec();
         store.save_state(&state)?;
         if let Some(snapshot) = snapshot {
--- a/crates/mimosa-storage/src/file_store.rs
+++ b/crates/mimosa-storage/src/file_store.rs
@@ -193,6 +193,10 @@
         self.write_log("truncate", |log, disk| log.truncate_suffix(disk, from))
     }
 
+    fn start_segment(&mut self) -> Result<()> {
+        self.write_log("seal", |log, disk| log.seal(disk))
+    }
+
     fn drop_prefix(&mut self, below: RecordIndex) -> Result<()> {
         let below = below.min(self.snapshot_index().next());
         self.write_log("drop segments of", |log, disk| log.drop_prefix(disk, below))
--- a/crates/mimosa-storage/src/log.rs
+++ b/crates/mimosa-storage/src/log.rs
@@ -23,6 +23,8 @@
     folder_dirty: bool,
     /// Whether the last segment holds bytes that are not durable yet.
     file_dirty: bool,
+    /// Whether the next record begins a new segment.
+    is_sealed: bool,
 }
 
 impl Log {
@@ -46,6 +48,7 @@
             next: snapshot.next(),
             folder_dirty: false,
             file_dirty: false,
+            is_sealed: false,
         };
         for (at, name) in kept.iter().enumerate() {
             log.take_segment(disk, name, at + 1 == kept.len())?;
@@ -128,10 +131,11 @@
             .segments
             .last()
             .is_none_or(|last| last.len() >= segment_size);
-        if is_full {
+        if is_full || self.is_sealed {
             self.sync(disk)?;
             self.segments
                 .push(Segment::create(disk, self.generation, self.next)?);
+            self.is_sealed = false;
             self.folder_dirty = true;
         }
         let last = self.segments.last_mut().expect("pushed above if missing");
@@ -141,6 +145,17 @@
         Ok(())
     }
 
+    /// Lets the next record begin a new segment.
+    pub(crate) fn seal(&mut self, disk: &mut dyn Disk) -> io::Result<()> {
+        // The new segment would have the name of one without records.
+        while let Some(last) = self.segments.pop_if(|last| last.next() == last.first) {
+            disk.remove(&last.name)?;
+            disk.sync_folder()?;
+        }
+        self.is_sealed = true;
+        Ok(())
+    }
+
     /// Makes the last segment durable, then its name.
     pub(crate) fn sync(&mut self, disk: &mut dyn Disk) -> io::Result<()> {
         if let Some(last) = self.segments.last().filter(|_| self.file_dirty) {
--- a/crates/mimosa-storage/src/store.rs
+++ b/crates/mimosa-storage/src/store.rs
@@ -111,6 +111,10 @@
     /// Reads records from an index on, at least one if there is one, up to a total size.
     fn read(&self, from: RecordIndex, limit: ByteSize) -> Result<Vec<Record>>;
 
+    /// Lets the next record begin a new file. After a failed sync the kernel may have dropped what
+    /// was written to the last one, and later syncs of that file do not tell.
+    fn start_segment(&mut self) -> Result<()>;
+
     /// Removes the records from an index on. Synced when it returns.
     fn truncate_suffix(&mut self, from: RecordIndex) -> Result<()>;
 
--- a/crates/mimosa-storage/tests/fault.rs
+++ b/crates/mimosa-storage/tests/fault.rs
@@ -296,3 +296,38 @@
         expect_that!(store.last_index(), eq(RecordIndex(last)), "seed {seed}");
     }
 }
+
+/// After a failed sync, what is written to the same file again may never reach the disk, although
+/// later syncs succeed: a store that is opened again goes on in a new file.
+#[googletest::test]
+fn a_store_that_goes_on_after_a_failed_sync_loses_nothing_more() {
+    for seed in 0..40 {
+        let disk = FaultyDisk::new(seed);
+        let mut store = disk.open(settings()).unwrap();
+        let first: Vec<Record> = (1..=5).map(small_record).collect();
+        store.append(&first).unwrap();
+        store.sync().unwrap();
+        store.append(&[small_record(6)]).unwrap();
+        disk.fail_sync_after(0);
+        expect_true!(store.sync().is_err());
+        drop(store);
+        let mut store = disk.open(settings()).unwrap();
+        store.truncate_suffix(RecordIndex(6)).unwrap();
+        store.start_segment().unwrap();
+        let second: Vec<Record> = (6..=9).map(small_record).collect();
+        store.append(&second).unwrap();
+        store.sync().unwrap();
+        disk.crash();
+        let store = disk.open(settings()).unwrap();
+        expect_that!(store.last_index(), eq(RecordIndex(9)), "seed {seed}");
+        let found = store.read(RecordIndex(1), ByteSize(u64::MAX)).unwrap();
+        expect_that!(found, eq(&[first, second].concat()), "seed {seed}");
+    }
+}
+
+fn small_record(index: u64) -> Record {
+    Record {
+        index: RecordIndex(index),
+        bytes: format!("record {index}").into_bytes(),
+    }
+}
