--- a/crates/mimosa-control/src/server.rs
+++ b/crates/mimosa-control/src/server.rs
@@ -9,10 +9,10 @@
 use log::info;
 use log::warn;
 use mimosa_metrics::MetricsServer;
-use mimosa_protocol::Error;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::Result;
 use mimosa_state::Machine;
+use mimosa_transport::accept;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -117,13 +117,13 @@
     ///
     /// If an address cannot be bound.
     pub async fn bind(settings: Settings) -> Result<Bound> {
-        let admin = bind(settings.admin_listen).await?;
-        let entry = bind(settings.entry_listen).await?;
-        let peer = bind(settings.peer_listen).await?;
+        let (admin, admin_address) = accept::bind(settings.admin_listen).await?;
+        let (entry, entry_address) = accept::bind(settings.entry_listen).await?;
+        let (peer, peer_address) = accept::bind(settings.peer_listen).await?;
         let addresses = Addresses {
-            admin: address(&admin)?,
-            entry: address(&entry)?,
-            peer: address(&peer)?,
+            admin: admin_address,
+            entry: entry_address,
+            peer: peer_address,
         };
         Ok(Bound {
             store: Arc::new(Folder(settings.data_folder.clone())),
@@ -457,24 +457,6 @@
     u64::from_le_bytes(random)
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| Error::Network {
-            action: "listen at",
-            peer: address.to_string(),
-            source,
-        })
-}
-
-fn address(listener: &TcpListener) -> Result<SocketAddr> {
-    listener.local_addr().map_err(|source| Error::Network {
-        action: "listen at",
-        peer: "a local address".to_owned(),
-        source,
-    })
-}
-
 async fn forget(in_force: Arc<InForce>, after: Duration) {
     loop {
         tokio::time::sleep(FORGET_PERIOD).await;
--- a/crates/mimosa-entry/src/server.rs
+++ b/crates/mimosa-entry/src/server.rs
@@ -19,9 +19,9 @@
 use mimosa_membership::Identity;
 use mimosa_membership::Members;
 use mimosa_membership::freshness;
-use mimosa_protocol::Error;
 use mimosa_protocol::Incarnation;
 use mimosa_protocol::Result;
+use mimosa_transport::accept;
 use mimosa_transport::clock::Clock;
 use mimosa_transport::datagram::ClusterTag;
 use mimosa_transport::datagram::Socket;
@@ -75,17 +75,10 @@
     ///
     /// [`Error::Network`] if its address cannot be bound.
     pub async fn start(instance: InstanceSettings, settings: EntrySettings) -> Result<Running> {
-        let listen = settings.listen;
-        let cannot_listen = |source| Error::Network {
-            action: "listen on",
-            peer: listen.to_string(),
-            source,
-        };
-        let listener = TcpListener::bind(listen).await.map_err(cannot_listen)?;
-        let address = listener.local_addr().map_err(cannot_listen)?;
+        let (listener, address) = accept::bind(settings.listen).await?;
         let (control, asks) = ControlLink::new();
-        let (peer_listener, socket) = bind_peers(settings.peer_listen, &instance.cluster).await?;
-        let peer_address = peer_listener.local_addr().map_err(cannot_listen)?;
+        let (peer_listener, peer_address, socket) =
+            bind_peers(settings.peer_listen, &instance.cluster).await?;
         let shared = new_shared(instance, settings, control, peer_address);
         shared.network.open_all(&shared.instance.data_centre);
         let background = vec![
@@ -171,18 +164,15 @@
 }
 
 /// Binds the address of the entries for TCP and for UDP.
-async fn bind_peers(listen: SocketAddr, cluster: &str) -> Result<(TcpListener, Socket)> {
-    let cannot_listen = |source| Error::Network {
-        action: "listen on",
-        peer: listen.to_string(),
-        source,
-    };
+async fn bind_peers(
+    listen: SocketAddr,
+    cluster: &str,
+) -> Result<(TcpListener, SocketAddr, Socket)> {
     let mut last = None;
     for _ in 0..BIND_TRIES {
-        let listener = TcpListener::bind(listen).await.map_err(cannot_listen)?;
-        let address = listener.local_addr().map_err(cannot_listen)?;
+        let (listener, address) = accept::bind(listen).await?;
         match Socket::bind(address, ClusterTag::of(cluster)).await {
-            Ok(socket) => return Ok((listener, socket)),
+            Ok(socket) => return Ok((listener, address, socket)),
             Err(e) => last = Some(e),
         }
     }
--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -110,38 +110,46 @@
     whole: &Whole,
     tried: &mut Tried,
 ) -> Result<Response<Body>, Failure> {
-    let tried_before = tried.endpoints.len();
-    let mut last = not_run("no endpoint had room");
+    let mut last = None;
     for _ in 0..MAX_PLACES {
         let places = match place(shared, request, tried).await {
             Ok(places) => places,
-            Err(_) if tried.endpoints.len() > tried_before => return Err(last),
-            Err(failure) => return Err(failure),
+            Err(failure) => return Err(last.map_or(failure, failed)),
         };
-        let failed = match run(shared, request, whole, places, tried).await {
+        let failure = match run(shared, request, whole, places, tried).await {
             Ok(response) => return Ok(response),
-            Err(failed) => failed,
+            Err(failure) => failure,
         };
+        last = Some(failure.after(last));
         let may_run_again = request.route.repeat.may_resume() && tried.attempts_left > 0;
-        // A later failure does not hide that the request may have run before.
-        let may_have_run = matches!(last, Failure::Lost(_));
-        last = match failed {
-            CallFailure::NotSent | CallFailure::NotRun if may_have_run => last,
-            CallFailure::NotSent => not_run("an endpoint cannot be reached"),
-            CallFailure::NotRun => not_run("an endpoint has no room"),
-            CallFailure::Unknown(reason) if may_run_again => Failure::Lost(reason),
-            CallFailure::Unknown(reason) => return Err(Failure::Lost(reason)),
-            CallFailure::TimedOut => return Err(Failure::TimedOut),
+        let ends = match failure {
+            CallFailure::NotSent | CallFailure::NotRun => false,
+            CallFailure::Unknown(_) => !may_run_again,
+            CallFailure::TimedOut => true,
         };
+        if ends {
+            break;
+        }
         let now = shared.now();
         let is_over = now >= request.deadline;
         // What did not reach an endpoint burdens none.
-        let may_repeat = failed == CallFailure::NotSent || shared.take_retry(now, &request.service);
+        let may_repeat =
+            failure == CallFailure::NotSent || shared.take_retry(now, &request.service);
         if is_over || !may_repeat {
             break;
         }
     }
-    Err(last)
+    Err(last.map_or(not_run("no endpoint had room"), failed))
+}
+
+/// The answer after the last call failed.
+const fn failed(failure: CallFailure) -> Failure {
+    match failure {
+        CallFailure::NotSent => not_run("an endpoint cannot be reached"),
+        CallFailure::NotRun => not_run("an endpoint has no room"),
+        CallFailure::Unknown(reason) => Failure::Lost(reason),
+        CallFailure::TimedOut => Failure::TimedOut,
+    }
 }
 
 /// Prefills where that is still to be done, and starts the decode.
--- a/crates/mimosa-gateway/src/plain.rs
+++ b/crates/mimosa-gateway/src/plain.rs
@@ -122,15 +122,11 @@
 }
 
 impl Last {
-    /// A later failure does not hide that the request may have run before.
     fn replace(&mut self, failure: CallFailure) {
-        let keeps = match self {
-            Self::Nothing => false,
-            Self::Failed(old) => !old.has_not_run() && failure.has_not_run(),
-            Self::Answer(_) => true,
-        };
-        if !keeps {
-            *self = Self::Failed(failure);
+        match self {
+            Self::Nothing => *self = Self::Failed(failure),
+            Self::Failed(earlier) => *earlier = failure.after(Some(*earlier)),
+            Self::Answer(_) => {}
         }
     }
 
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -87,6 +87,15 @@
     pub(crate) const fn has_not_run(self) -> bool {
         matches!(self, Self::NotSent | Self::NotRun)
     }
+
+    /// Which failure counts when this one came after an earlier one: it does not hide that the
+    /// request may have run before.
+    pub(crate) const fn after(self, earlier: Option<Self>) -> Self {
+        match earlier {
+            Some(earlier) if !earlier.has_not_run() && self.has_not_run() => earlier,
+            _ => self,
+        }
+    }
 }
 
 /// Chooses an endpoint of the request's service with a role, but for those that were tried.
--- a/src/command.rs
+++ b/src/command.rs
@@ -6,7 +6,6 @@
 use lexopt::Arg;
 use lexopt::Parser;
 use lexopt::ValueExt;
-use mimosa_config::Settings;
 use mimosa_protocol::Error;
 
 use crate::logging;
@@ -137,25 +136,20 @@
     }
 }
 
-/// The settings in the file that a command names, with logging started as they say; `None` if the
-/// command was asked for its help and printed it.
-fn settings_to_run(command: &Command, args: &mut Parser) -> miette::Result<Option<Settings>> {
+/// The settings file that a daemon names, with logging started as it says; `None` if the command was
+/// asked for its help and printed it.
+fn settings_to_run(command: &Command, args: &mut Parser) -> miette::Result<Option<SettingsFile>> {
     let Some(file) = one_word(command, args)? else {
         return Ok(None);
     };
-    let settings = Settings::load(Path::new(&file))?;
-    logging::start(&settings.log)?;
-    Ok(Some(settings))
+    open_settings(&file).map(Some)
 }
 
-/// The same for a daemon that follows its file while it runs.
-fn followed_settings(command: &Command, args: &mut Parser) -> miette::Result<Option<SettingsFile>> {
-    let Some(file) = one_word(command, args)? else {
-        return Ok(None);
-    };
-    let file = SettingsFile::load(Path::new(&file))?;
+/// Loads a settings file and starts logging as it says.
+fn open_settings(file: &str) -> miette::Result<SettingsFile> {
+    let file = SettingsFile::load(Path::new(file))?;
     logging::start(&file.settings().log)?;
-    Ok(Some(file))
+    Ok(file)
 }
 
 /// The one word that a command takes, or `None` if it was asked for its help and printed it.
--- a/src/command/control.rs
+++ b/src/command/control.rs
@@ -1,6 +1,5 @@
 //! `control`: keeps the state.
 
-use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -18,8 +17,8 @@
 use mimosa_protocol::Error;
 
 use super::Command;
+use super::open_settings;
 use super::usage;
-use crate::logging;
 use crate::reload::SettingsFile;
 use crate::reload::Signals;
 use crate::runtime;
@@ -44,8 +43,7 @@
     let Some((file, found)) = read(&mut args)? else {
         return Ok(ExitCode::SUCCESS);
     };
-    let file = SettingsFile::load(Path::new(&file))?;
-    logging::start(&file.settings().log)?;
+    let file = open_settings(&file)?;
     runtime::run_on(file.settings().runtime, serve(file, found))
 }
 
--- a/src/command/entry.rs
+++ b/src/command/entry.rs
@@ -23,7 +23,7 @@
 
 fn run(mut args: Parser) -> miette::Result<ExitCode> {
     match settings_to_run(&COMMAND, &mut args)? {
-        Some(settings) => runtime::run(serve(settings)),
+        Some(file) => runtime::run(serve(file.settings().clone())),
         None => Ok(ExitCode::SUCCESS),
     }
 }
--- a/src/command/gateway.rs
+++ b/src/command/gateway.rs
@@ -10,7 +10,7 @@
 use mimosa_platform::PlatformHeaders;
 
 use super::Command;
-use super::followed_settings;
+use super::settings_to_run;
 use super::usage;
 use crate::reload::SettingsFile;
 use crate::reload::Signals;
@@ -29,7 +29,7 @@
 };
 
 fn run(mut args: Parser) -> miette::Result<ExitCode> {
-    match followed_settings(&COMMAND, &mut args)? {
+    match settings_to_run(&COMMAND, &mut args)? {
         Some(file) => runtime::run_on(file.settings().runtime, serve(file)),
         None => Ok(ExitCode::SUCCESS),
     }
