Log how an endpoint marks the end of a stream, and an unfinished last event

The line now has `framing=` and `partial_bytes=`, and a counter tells the ends by framing and outcome.

The scanner of events moves to mimosa-hold, where both data planes reach it, and knows all three line ends of server-sent events; EventBuffer uses it and scans each byte once.

--- a/crates/mimosa-gateway/src/lib.rs
+++ b/crates/mimosa-gateway/src/lib.rs
@@ -31,7 +31,6 @@
 mod upstream;
 
 pub mod dialect;
-pub mod events;
 pub mod server;
 pub mod settings;
 
--- a/crates/mimosa-gateway/src/metrics.rs
+++ b/crates/mimosa-gateway/src/metrics.rs
@@ -20,6 +20,7 @@
     quota_charges: IntCounterVec,
     retries: IntCounterVec,
     resumes: IntCounterVec,
+    stream_ends: IntCounterVec,
     response_time: HistogramVec,
     queue_time: HistogramVec,
 }
@@ -77,6 +78,11 @@
                 "Streams that broke and might go on elsewhere, by outcome",
                 &["outcome"],
             ),
+            stream_ends: counter(
+                "mimosa_gateway_stream_ends_total",
+                "Answers that were passed on as they came, by framing at the endpoint and outcome",
+                &["framing", "outcome"],
+            ),
             response_time: histogram(
                 "mimosa_gateway_answer_seconds",
                 "Time from a request's head to the head of its answer",
@@ -124,6 +130,14 @@
         self.resumes.with_label_values(&[outcome]).inc();
     }
 
+    /// Records the end of a forwarded response. `framing` is `length`, `chunked` or `close`; `outcome`
+    /// is `complete`, `cut`, `deadline` or `left`.
+    pub(crate) fn record_stream_end(&self, framing: &str, outcome: &str) {
+        self.stream_ends
+            .with_label_values(&[framing, outcome])
+            .inc();
+    }
+
     /// Records a request counted against a quota. `how` is `lent` for borrowed quota or `alone` for
     /// the even share.
     pub(crate) fn record_quota_charge(&self, how: &str) {
--- a/crates/mimosa-gateway/src/relay.rs
+++ b/crates/mimosa-gateway/src/relay.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use hyper::HeaderMap;
 use hyper::Response;
 use hyper::body::Body as _;
 use hyper::body::Frame;
@@ -15,6 +16,7 @@
 use hyper::body::SizeHint;
 use hyper::header;
 use log::info;
+use mimosa_hold::events::EventScanner;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::Tokens;
 use mimosa_schedule::fleet::RunEnd;
@@ -95,6 +97,7 @@
     info: StreamInfo,
 ) -> Response<Body> {
     let (mut head, body) = upstream_response.response.into_parts();
+    let framing = Framing::of(&head.headers, &body);
     upstream::remove_hop_by_hop(&mut head.headers);
     if body.size_hint().exact().is_none() {
         head.headers.remove(header::CONTENT_LENGTH);
@@ -109,7 +112,8 @@
         _in_flight: upstream_response.in_flight,
         sent: upstream_response.sent,
         info,
-        events: EventCounter::default(),
+        framing,
+        events: EventScanner::default(),
         timing: StreamTiming::default(),
         bytes: 0,
     };
@@ -131,25 +135,31 @@
     pub(crate) tokens_per_event: Tokens,
 }
 
-/// Counts server-sent events, each of which ends with an empty line.
-#[derive(Default)]
-struct EventCounter {
-    count: u64,
-    after_newline: bool,
+/// How an endpoint marks the end of a response body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    Length,
+    Chunked,
+    /// The body ends with its connection.
+    Close,
 }
 
-impl EventCounter {
-    fn add(&mut self, data: &[u8]) {
-        for byte in data {
-            match byte {
-                b'\n' if self.after_newline => {
-                    self.count += 1;
-                    self.after_newline = false;
-                }
-                b'\n' => self.after_newline = true,
-                b'\r' => {}
-                _ => self.after_newline = false,
-            }
+impl Framing {
+    fn of(headers: &HeaderMap, body: &Incoming) -> Self {
+        if headers.contains_key(header::TRANSFER_ENCODING) {
+            Self::Chunked
+        } else if body.size_hint().exact().is_some() {
+            Self::Length
+        } else {
+            Self::Close
+        }
+    }
+
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::Close => "close",
         }
     }
 }
@@ -183,7 +193,8 @@
     _in_flight: InFlightGuard,
     sent: Timestamp,
     info: StreamInfo,
-    events: EventCounter,
+    framing: Framing,
+    events: EventScanner,
     timing: StreamTiming,
     bytes: u64,
 }
@@ -197,7 +208,7 @@
             if is_first && !data.is_empty() {
                 run.report_started(self.shared.now());
             }
-            self.events.add(data);
+            self.events.scan(data);
         }
     }
 
@@ -213,20 +224,25 @@
                 _ => {}
             }
             if let Some(run) = self.info.run.take() {
-                let output = Tokens(self.events.count * self.info.tokens_per_event.0);
+                let output = Tokens(self.events.count() * self.info.tokens_per_event.0);
                 run.end(match outcome {
                     "complete" => RunEnd::Complete(output),
                     "cut" => RunEnd::EndpointLost(self.endpoint.listed.id.clone()),
                     _ => RunEnd::Aborted,
                 });
             }
+            self.shared
+                .metrics
+                .record_stream_end(self.framing.as_str(), outcome);
             if !self.info.attempt_id.is_empty() {
                 info!(
-                    "request={} step=stream outcome={outcome} endpoint={} events={} bytes={} \
-                     first_ms={} longest_pause_ms={} took_ms={}",
+                    "request={} step=stream outcome={outcome} endpoint={} framing={} events={} \
+                     partial_bytes={} bytes={} first_ms={} longest_pause_ms={} took_ms={}",
                     self.info.attempt_id,
                     self.endpoint.listed.id,
-                    self.events.count,
+                    self.framing.as_str(),
+                    self.events.count(),
+                    self.events.partial_bytes(),
                     self.bytes,
                     self.timing
                         .first
--- a/crates/mimosa-gateway/src/resume.rs
+++ b/crates/mimosa-gateway/src/resume.rs
@@ -13,11 +13,11 @@
 use hyper::body::Body as _;
 use hyper::body::Frame;
 use log::info;
+use mimosa_hold::events::EventBuffer;
 use tokio::time::Instant;
 use tokio::time::Sleep;
 use tokio::time::sleep;
 
-use crate::events::EventBuffer;
 use crate::head::IdentifiedRequest;
 use crate::model;
 use crate::model::Attempts;
--- a/crates/mimosa-gateway/src/events.rs
+++ b/crates/mimosa-hold/src/events.rs
@@ -1,8 +1,59 @@
-//! Buffering of server-sent events, so that a stream can resume at another endpoint.
+//! Scanning and buffering of server-sent events, so that a truncated stream is recognised and can
+//! resume at another endpoint.
 
 use bytes::Bytes;
 use bytes::BytesMut;
 
+/// Finds the ends of server-sent events. An empty line ends an event; lines end with LF, CR or CRLF.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EventScanner {
+    count: u64,
+    partial_bytes: u64,
+    in_line: bool,
+    after_cr: bool,
+}
+
+impl EventScanner {
+    /// Scans the next bytes of the stream.
+    pub fn scan(&mut self, data: &[u8]) {
+        for byte in data {
+            self.scan_byte(*byte);
+        }
+    }
+
+    /// Number of complete events.
+    pub const fn count(&self) -> u64 {
+        self.count
+    }
+
+    /// Bytes of the event that is not complete yet, without line ends; 0 between events.
+    pub const fn partial_bytes(&self) -> u64 {
+        self.partial_bytes
+    }
+
+    /// Returns whether the byte ends an event. The LF of a CRLF that ends one follows it.
+    const fn scan_byte(&mut self, byte: u8) -> bool {
+        let ends_crlf = byte == b'\n' && self.after_cr;
+        self.after_cr = byte == b'\r';
+        if ends_crlf {
+            return false;
+        }
+        if !matches!(byte, b'\r' | b'\n') {
+            self.in_line = true;
+            self.partial_bytes += 1;
+            return false;
+        }
+        let is_empty_line = !self.in_line;
+        self.in_line = false;
+        let ends_event = is_empty_line && self.partial_bytes > 0;
+        if ends_event {
+            self.partial_bytes = 0;
+            self.count += 1;
+        }
+        ends_event
+    }
+}
+
 /// Forwards only complete events and tracks the identifier of the last one, from which the stream
 /// can resume.
 ///
@@ -11,6 +62,7 @@
 #[derive(Debug, Default)]
 pub struct EventBuffer {
     partial: BytesMut,
+    scanner: EventScanner,
     last_id: Option<String>,
     /// Whether the stream was resumed, so that events up to the last one are dropped.
     is_resumed: bool,
@@ -33,10 +85,22 @@
 
     /// Appends received bytes and returns the events that are complete and new to the client.
     pub fn push(&mut self, data: &[u8]) -> Bytes {
+        let mut scanned = self.partial.len();
         self.partial.extend_from_slice(data);
         let mut complete = BytesMut::new();
-        while let Some(length) = first_event_length(&self.partial) {
-            let event = self.partial.split_to(length);
+        while scanned < self.partial.len() {
+            let ends_event = self.scanner.scan_byte(self.partial[scanned]);
+            scanned += 1;
+            if !ends_event {
+                continue;
+            }
+            if self.partial[..scanned].ends_with(b"\r") && self.partial.get(scanned) == Some(&b'\n')
+            {
+                self.scanner.scan_byte(b'\n');
+                scanned += 1;
+            }
+            let event = self.partial.split_to(scanned);
+            scanned = 0;
             let id = event_id(&event);
             if self.is_resumed && !self.is_new(id) {
                 continue;
@@ -57,6 +121,7 @@
     /// Discards the partial event when the stream resumes at another endpoint.
     pub fn resume(&mut self) {
         self.partial.clear();
+        self.scanner = EventScanner::default();
         self.is_resumed = true;
     }
 
@@ -75,20 +140,6 @@
     }
 }
 
-/// Length of the first event in bytes, including the empty line that ends it.
-fn first_event_length(bytes: &[u8]) -> Option<usize> {
-    let mut after_newline = false;
-    for (index, byte) in bytes.iter().enumerate() {
-        match byte {
-            b'\n' if after_newline => return Some(index + 1),
-            b'\n' => after_newline = true,
-            b'\r' => {}
-            _ => after_newline = false,
-        }
-    }
-    None
-}
-
 fn event_id(event: &[u8]) -> Option<&str> {
     let text = std::str::from_utf8(event).ok()?;
     text.lines()
--- a/crates/mimosa-gateway/tests/events.rs
+++ b/crates/mimosa-hold/tests/events.rs
@@ -1,7 +1,8 @@
 //! Buffering of server-sent events and resumption of streams.
 
 use googletest::prelude::*;
-use mimosa_gateway::events::EventBuffer;
+use mimosa_hold::events::EventBuffer;
+use mimosa_hold::events::EventScanner;
 
 fn event(id: u32) -> String {
     format!("id: {id}\ndata: piece {id}\n\n")
@@ -63,3 +64,40 @@
     expect_that!(text(events.push(event(5).as_bytes())), eq(&event(5)));
     expect_that!(events.last_id(), some(eq("5")));
 }
+
+#[gtest]
+fn scanner_counts_events_and_the_bytes_of_an_unfinished_one_for_all_line_ends() {
+    for line_end in ["\n", "\r\n", "\r"] {
+        let event = format!("id: 7{line_end}data: x{line_end}{line_end}");
+        let stream = event.repeat(2) + "data: y" + line_end;
+        for cut in 0..stream.len() {
+            let mut scanner = EventScanner::default();
+            scanner.scan(&stream.as_bytes()[..cut]);
+            scanner.scan(&stream.as_bytes()[cut..]);
+            expect_that!(scanner.count(), eq(2), "{line_end:?} cut at {cut}");
+            expect_that!(scanner.partial_bytes(), eq(7), "{line_end:?} cut at {cut}");
+        }
+    }
+}
+
+#[gtest]
+fn scanner_takes_empty_lines_between_events_for_no_part_of_an_event() {
+    let mut scanner = EventScanner::default();
+    scanner.scan(b"\n\ndata: x\n\n\r\n\n");
+    expect_that!(scanner.count(), eq(1));
+    expect_that!(scanner.partial_bytes(), eq(0));
+}
+
+#[gtest]
+fn buffered_events_keep_every_byte_for_all_line_ends() {
+    for line_end in ["\n", "\r\n", "\r"] {
+        let stream = format!("id: 1{line_end}data: x{line_end}{line_end}").repeat(3);
+        for cut in 0..stream.len() {
+            let mut events = EventBuffer::default();
+            let mut passed = text(events.push(&stream.as_bytes()[..cut]));
+            passed += &text(events.push(&stream.as_bytes()[cut..]));
+            passed += &text(events.take_remainder());
+            expect_that!(passed, eq(&stream), "{line_end:?} cut at {cut}");
+        }
+    }
+}
