--- a/crates/mimosa-entry/tests/callers/fixture.rs
+++ b/crates/mimosa-entry/tests/callers/fixture.rs
@@ -202,7 +202,8 @@
     }
 }
 
-fn endpoint(id: &str, service: &str, address: SocketAddr, role: EndpointRole) -> Endpoint {
+/// An active endpoint in the fixture's data centre.
+pub fn endpoint(id: &str, service: &str, address: SocketAddr, role: EndpointRole) -> Endpoint {
     Endpoint {
         id: id.parse().expect("a valid name"),
         service: service.parse().expect("a valid name"),
--- a/crates/mimosa-entry/tests/callers/main.rs
+++ b/crates/mimosa-entry/tests/callers/main.rs
@@ -8,6 +8,8 @@
 mod keys;
 mod misdelivery;
 mod quarantine;
+mod raw;
 mod refusals;
 mod services;
 mod shutdown;
+mod truncation;
--- /dev/null
+++ b/crates/mimosa-entry/tests/callers/truncation.rs
@@ -0,0 +1,101 @@
+//! Answers of endpoints that break off without an error on the connection.
+
+use googletest::prelude::*;
+use mimosa_protocol::configuration::EndpointRole;
+
+use crate::fixture::Fixture;
+use crate::fixture::Setup;
+use crate::http::Call;
+use crate::raw::RawEndpoint;
+
+const EVENT_STREAM: &str = "text/event-stream";
+const JSON: &str = "application/json";
+
+async fn fixture_with(raw: &RawEndpoint, role: EndpointRole) -> Fixture {
+    let fixture = Fixture::start(Setup::default()).await;
+    raw.replace(&fixture, role).await;
+    fixture
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn an_unframed_completion_that_breaks_off_is_not_delivered_as_complete() {
+    let raw = RawEndpoint::unframed(JSON, "{\"choices\":[{\"text\":\"ha").await;
+    let fixture = fixture_with(&raw, EndpointRole::Decode).await;
+    let answer = fixture.call(Call::chat("a letter")).await;
+    expect_that!(answer.status, eq(502), "{}", answer.body);
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn an_unframed_completion_that_is_whole_is_delivered() {
+    let body = "{\"choices\":[{\"text\":\"half\"}]}";
+    let raw = RawEndpoint::unframed(JSON, body).await;
+    let fixture = fixture_with(&raw, EndpointRole::Decode).await;
+    let answer = fixture.call(Call::chat("a letter")).await;
+    expect_that!(answer.status, eq(200));
+    expect_that!(answer.body, eq(body));
+    expect_that!(answer.complete, eq(true));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn an_unframed_model_stream_that_ends_inside_an_event_delivers_only_whole_events() {
+    let raw = RawEndpoint::unframed(EVENT_STREAM, "data: {\"a\":1}\n\ndata: {\"a\":").await;
+    let fixture = fixture_with(&raw, EndpointRole::Decode).await;
+    let answer = fixture.call(Call::streamed("a letter")).await;
+    let rest = answer.body.strip_prefix("data: {\"a\":1}\n\n");
+    expect_that!(
+        rest,
+        some(starts_with("data: {\"error\":")),
+        "{}",
+        answer.body
+    );
+    expect_that!(answer.body, not(contains_substring("[DONE]")));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn an_unframed_model_stream_with_its_closing_event_is_delivered() {
+    let body = "data: {\"a\":1}\n\ndata: [DONE]\n\n";
+    let raw = RawEndpoint::unframed(EVENT_STREAM, body).await;
+    let fixture = fixture_with(&raw, EndpointRole::Decode).await;
+    let answer = fixture.call(Call::streamed("a letter")).await;
+    expect_that!(answer.body, eq(body));
+    expect_that!(answer.complete, eq(true));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn an_unframed_plain_stream_that_ends_inside_an_event_is_not_delivered_as_complete() {
+    let raw = RawEndpoint::unframed(EVENT_STREAM, "data: 1\n\ndata: ha").await;
+    let fixture = fixture_with(&raw, EndpointRole::Plain).await;
+    let answer = fixture.call(Call::get("/services/orders/watch")).await;
+    expect_that!(answer.complete, eq(false), "{}", answer.body);
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn an_unframed_plain_stream_that_ends_inside_an_event_is_not_recorded_as_answered() {
+    let raw = RawEndpoint::unframed(EVENT_STREAM, "data: 1\n\ndata: ha").await;
+    let fixture = fixture_with(&raw, EndpointRole::Plain).await;
+    let call = Call::post("/services/orders/charge", "12").header("idempotency-key", "k-1");
+    let answer = fixture.call(call).await;
+    expect_that!(answer.status, eq(502), "{}", answer.body);
+    expect_that!(answer.body, contains_substring(r#""ran":"unknown""#));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn unframed_plain_answers_that_end_whole_are_delivered() {
+    for (content_type, body) in [
+        (EVENT_STREAM, "data: 1\n\ndata: 2\n\n"),
+        ("text/plain", "ha"),
+    ] {
+        let raw = RawEndpoint::unframed(content_type, body).await;
+        let fixture = fixture_with(&raw, EndpointRole::Plain).await;
+        let answer = fixture.call(Call::get("/services/orders/watch")).await;
+        expect_that!(answer.body, eq(body));
+        expect_that!(answer.complete, eq(true), "{content_type}");
+    }
+}
