Treat a stream that ends inside an event as broken off

Cause: the answer had neither a length nor chunks, so its end was the end of the connection, and a process that crashes may close its connections in order. Both data planes took the framing alone as proof that an answer is whole, and gave the caller a proper end of their own.

Now the end of an answer is judged by its content as well: - gateway: a successful event stream that ends inside an event is cut, for all three framings; so is a stream of a model without any event that ends with its connection, unless it resumes. A resumable stream resumes. With a content length, the last byte is withheld so that the caller sees the break. - gateway: a body that fails does so one poll later, as hyper discards what it has not written; whole events that came with the break now arrive. - entry: bodies of event streams fail likewise (plain services, ledger); streams of models pass on whole events only, so an error event never follows half of another, and a stall is the time without an event, not without bytes; a completion that is not streamed must be a whole JSON document.

--- a/crates/mimosa-entry/src/engine.rs
+++ b/crates/mimosa-entry/src/engine.rs
@@ -20,6 +20,7 @@
 
 use crate::model_request::ModelRequest;
 
+mod event_stream;
 pub(crate) mod http;
 
 /// A boxed future, for methods of trait objects.
--- a/crates/mimosa-entry/src/engine/http.rs
+++ b/crates/mimosa-entry/src/engine/http.rs
@@ -33,6 +33,7 @@
 use super::EngineResponse;
 use super::KvSource;
 use super::PlainRequest;
+use super::event_stream::EventStreamBody;
 use crate::model_request::ModelRequest;
 
 /// Header that carries the attempt's id. An endpoint that echoes it in the response allows
@@ -183,10 +184,17 @@
 
 fn into_engine_response(resp: Response<Incoming>) -> EngineResponse {
     let (parts, body) = resp.into_parts();
+    let content_type = parts.headers.get(CONTENT_TYPE);
+    let is_event_stream =
+        content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"));
+    let body = match is_event_stream && parts.status.is_success() {
+        true => Body::new(EventStreamBody::new(body)),
+        false => Body::new(body),
+    };
     EngineResponse {
         status: parts.status,
         headers: parts.headers,
-        body: Body::new(body),
+        body,
     }
 }
 
--- a/crates/mimosa-entry/src/relay.rs
+++ b/crates/mimosa-entry/src/relay.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::BodyExt;
+use mimosa_hold::events::EventBuffer;
 use mimosa_protocol::Refusal;
 use mimosa_protocol::RefusalReason;
 use mimosa_protocol::Tokens;
@@ -22,14 +23,19 @@
 /// Minimum number of output tokens between progress reports to the scheduler.
 const PROGRESS_STEP: Tokens = Tokens(32);
 
+/// Maximum size of an event; an incomplete event is buffered.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// A response being streamed. Dropping it cancels the attempt.
 pub(crate) struct Relay {
     pub(crate) body: Body,
     pub(crate) attempt: Option<Attempt>,
     pub(crate) reservation: Option<Reservation>,
     pub(crate) record: RequestRecord,
-    /// Time without data from the endpoint after which the stream counts as failed.
+    /// Time without a complete event from the endpoint after which the stream counts as failed.
     pub(crate) idle_timeout: Duration,
+    /// Holds back incomplete events, so that an error event never follows half of another.
+    pub(crate) events: EventBuffer,
     pub(crate) scanner: Scanner,
     /// Output tokens in the latest progress report.
     pub(crate) reported_output: Tokens,
@@ -45,7 +51,7 @@
 }
 
 impl Relay {
-    /// Reads the first chunk; `None` if the stream ends or fails before it. Until the first chunk
+    /// Reads the first events; `None` if the stream ends or fails before one. Until the first event
     /// is relayed, the request can still be retried at another endpoint.
     pub(crate) async fn first_chunk(&mut self) -> Option<Bytes> {
         match self.next_event().await {
@@ -81,22 +87,38 @@
         Body::from_stream(chunks)
     }
 
+    /// Waits for complete events.
     async fn next_event(&mut self) -> StreamEvent {
+        let abort = Arc::clone(&self.abort);
+        let idle_timeout = self.idle_timeout;
+        tokio::select! {
+            event = tokio::time::timeout(idle_timeout, self.read_events()) => {
+                event.unwrap_or(StreamEvent::Failed(RefusalReason::Timeout))
+            }
+            () = abort.notified() => StreamEvent::Failed(RefusalReason::EndpointFailed),
+        }
+    }
+
+    async fn read_events(&mut self) -> StreamEvent {
         loop {
-            let frame = tokio::select! {
-                frame = tokio::time::timeout(self.idle_timeout, self.body.frame()) => frame,
-                () = self.abort.notified() => return StreamEvent::Failed(RefusalReason::EndpointFailed),
-            };
-            match frame {
-                Err(_) => return StreamEvent::Failed(RefusalReason::Timeout),
-                Ok(None) => return StreamEvent::End,
-                Ok(Some(Err(_))) => return StreamEvent::Failed(RefusalReason::EndpointFailed),
-                Ok(Some(Ok(frame))) => {
-                    if let Ok(bytes) = frame.into_data() {
-                        self.record_output(&bytes);
-                        return StreamEvent::Bytes(bytes);
-                    }
+            let bytes = match self.body.frame().await {
+                None => return StreamEvent::End,
+                Some(Err(e)) => {
+                    log::info!(
+                        "request={} step=stream outcome=cut reason=\"{e}\"",
+                        self.record.request
+                    );
+                    return StreamEvent::Failed(RefusalReason::EndpointFailed);
                 }
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            };
+            self.record_output(&bytes);
+            let events = self.events.push(&bytes);
+            if self.events.partial_len() > MAX_EVENT_BYTES {
+                return StreamEvent::Failed(RefusalReason::EndpointFailed);
+            }
+            if !events.is_empty() {
+                return StreamEvent::Bytes(events);
             }
         }
     }
--- a/crates/mimosa-entry/src/route/completions.rs
+++ b/crates/mimosa-entry/src/route/completions.rs
@@ -14,6 +14,8 @@
 use axum::response::IntoResponse;
 use axum::response::Response;
 use http_body_util::BodyExt;
+use http_body_util::Collected;
+use mimosa_hold::events::EventBuffer;
 use mimosa_hold::quarantine::Fingerprint;
 use mimosa_protocol::EndpointId;
 use mimosa_protocol::Refusal;
@@ -26,6 +28,7 @@
 use mimosa_protocol::configuration::ServiceKind;
 use mimosa_schedule::AttemptEnd;
 use mimosa_schedule::Submission;
+use serde::de::IgnoredAny;
 
 use crate::access::Caller;
 use crate::access::authorise;
@@ -316,6 +319,7 @@
         reservation: admitted.reservation.take(),
         record,
         idle_timeout: admitted.shared.settings.limits.endpoint_silence,
+        events: EventBuffer::default(),
         scanner: Scanner::default(),
         reported_output: Tokens::ZERO,
     };
@@ -348,14 +352,15 @@
     let mut record = admitted.request_record(attempt.endpoint());
     let timeout = admitted.shared.settings.limits.endpoint_silence;
     let collected = tokio::time::timeout(timeout, engine_response.body.collect()).await;
+    let collected = collected.map(|collected| collected.map(Collected::to_bytes));
     let failure = match collected {
-        Ok(Ok(collected)) => {
-            let bytes = collected.to_bytes();
+        Ok(Ok(bytes)) if is_json_document(&bytes) => {
             finish(admitted, attempt, &mut record, &bytes);
             let content_type = content_type(&engine_response.headers, "application/json");
             return Ok(([(CONTENT_TYPE, content_type)], bytes).into_response());
         }
-        Ok(Err(_)) => EngineFailure::DISCONNECTED,
+        // A body without a length is whole only if its document is.
+        Ok(_) => EngineFailure::DISCONNECTED,
         Err(_) => EngineFailure::TIMED_OUT,
     };
     record.is_recorded = true;
@@ -389,3 +394,7 @@
     let given = headers.get(CONTENT_TYPE).cloned();
     given.unwrap_or(HeaderValue::from_static(default))
 }
+
+fn is_json_document(bytes: &[u8]) -> bool {
+    serde_json::from_slice::<IgnoredAny>(bytes).is_ok()
+}
--- a/crates/mimosa-gateway/src/client_connection.rs
+++ b/crates/mimosa-gateway/src/client_connection.rs
@@ -71,6 +71,7 @@
     pub(crate) fn idle_after(self: &Arc<Self>, body: Body) -> Body {
         let body = TrackedBody {
             body,
+            failed: None,
             tracker: Arc::clone(self),
         };
         body.boxed_unsync()
@@ -113,9 +114,11 @@
     }
 }
 
-/// Response body that marks its connection as idle when dropped.
+/// Response body that marks its connection as idle when dropped. It reports a failure one poll
+/// later: hyper discards the bytes that it has not written when a body fails.
 struct TrackedBody {
     body: Body,
+    failed: Option<BodyError>,
     tracker: Arc<ActivityTracker>,
 }
 
@@ -127,11 +130,21 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        if let Some(e) = self.failed.take() {
+            return Poll::Ready(Some(Err(e)));
+        }
+        match Pin::new(&mut self.body).poll_frame(cx) {
+            Poll::Ready(Some(Err(e))) => {
+                self.failed = Some(e);
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            polled => polled,
+        }
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.failed.is_none() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -219,6 +219,10 @@
                 attempt_id: request.metadata.attempt_id.clone(),
                 arrived: request.arrived,
                 deadline: request.deadline,
+                resumes: shared
+                    .dialect
+                    .last_event_id(&client_request.headers)
+                    .is_some(),
                 run: Some(run),
                 tokens_per_event: engine.map_or(Tokens(1), |engine| engine.tokens_per_event),
             };
--- a/crates/mimosa-gateway/src/relay.rs
+++ b/crates/mimosa-gateway/src/relay.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
 use hyper::header;
+use hyper::http::response::Parts;
 use log::info;
 use mimosa_hold::events::EventScanner;
 use mimosa_protocol::Timestamp;
@@ -98,6 +99,7 @@
 ) -> Response<Body> {
     let (mut head, body) = upstream_response.response.into_parts();
     let framing = Framing::of(&head.headers, &body);
+    let is_event_stream = is_event_stream(&head, info.run.is_some());
     upstream::remove_hop_by_hop(&mut head.headers);
     if body.size_hint().exact().is_none() {
         head.headers.remove(header::CONTENT_LENGTH);
@@ -113,9 +115,11 @@
         sent: upstream_response.sent,
         info,
         framing,
+        is_event_stream,
         events: EventScanner::default(),
         timing: StreamTiming::default(),
         bytes: 0,
+        failed: None,
     };
     Response::from_parts(head, body.boxed_unsync())
 }
@@ -129,6 +133,8 @@
     pub(crate) arrived: Timestamp,
     /// When the response breaks off if it is not complete, which bounds responses without end.
     pub(crate) deadline: Timestamp,
+    /// Whether the stream continues after an event that the client already has.
+    pub(crate) resumes: bool,
     /// Run to report progress for; `None` for plain services.
     pub(crate) run: Option<PlacedRun>,
     /// Output tokens per event.
@@ -164,6 +170,16 @@
     }
 }
 
+/// Whether the body of a successful response is a stream of events. Model endpoints may leave out
+/// the content type.
+fn is_event_stream(head: &Parts, is_model: bool) -> bool {
+    let content_type = head.headers.get(header::CONTENT_TYPE);
+    head.status.is_success()
+        && content_type.map_or(is_model, |value| {
+            value.as_bytes().starts_with(b"text/event-stream")
+        })
+}
+
 /// Arrival times of the parts of a stream.
 #[derive(Default)]
 struct StreamTiming {
@@ -194,9 +210,12 @@
     sent: Timestamp,
     info: StreamInfo,
     framing: Framing,
+    is_event_stream: bool,
     events: EventScanner,
     timing: StreamTiming,
     bytes: u64,
+    /// Failure to report after the bytes that arrived with it.
+    failed: Option<BodyError>,
 }
 
 impl RelayBody {
@@ -204,14 +223,32 @@
         let is_first = self.bytes == 0;
         self.bytes += data.len() as u64;
         self.timing.add(self.shared.now());
-        if let Some(run) = &self.info.run {
-            if is_first && !data.is_empty() {
-                run.report_started(self.shared.now());
-            }
+        if let Some(run) = &self.info.run
+            && is_first
+            && !data.is_empty()
+        {
+            run.report_started(self.shared.now());
+        }
+        if self.is_event_stream {
             self.events.scan(data);
         }
     }
 
+    /// Ends a body whose last byte has arrived. An endpoint that crashes may close its connection
+    /// in order, so the framing alone does not show that an event stream is complete.
+    fn finish(&mut self) -> Result<(), BodyError> {
+        let events = self.events.count();
+        let is_inside_event = self.events.partial_bytes() > 0;
+        let is_empty_run = self.info.run.is_some() && events == 0 && !self.info.resumes;
+        let is_cut = is_inside_event || (is_empty_run && self.framing == Framing::Close);
+        if self.is_event_stream && is_cut {
+            self.end("cut");
+            return Err(BodyError::InsideEvent { events });
+        }
+        self.end("complete");
+        Ok(())
+    }
+
     fn end(&mut self, outcome: &str) {
         let now = self.shared.now();
         if let Some(connection) = self.connection.take() {
@@ -236,14 +273,14 @@
                 .record_stream_end(self.framing.as_str(), outcome);
             if !self.info.attempt_id.is_empty() {
                 info!(
-                    "request={} step=stream outcome={outcome} endpoint={} framing={} events={} \
-                     partial_bytes={} bytes={} first_ms={} longest_pause_ms={} took_ms={}",
+                    "request={} step=stream outcome={outcome} endpoint={} events={} bytes={} \
+                     framing={} partial_bytes={} first_ms={} longest_pause_ms={} took_ms={}",
                     self.info.attempt_id,
                     self.endpoint.listed.id,
-                    self.framing.as_str(),
                     self.events.count(),
-                    self.events.partial_bytes(),
                     self.bytes,
+                    self.framing.as_str(),
+                    self.events.partial_bytes(),
                     self.timing
                         .first
                         .unwrap_or(now)
@@ -269,25 +306,38 @@
             self.end("deadline");
             return Poll::Ready(Some(Err(BodyError::DeadlinePassed)));
         }
-        let polled = Pin::new(&mut self.body).poll_frame(cx);
-        match &polled {
-            Poll::Ready(None) => self.end("complete"),
+        if let Some(e) = self.failed.take() {
+            return Poll::Ready(Some(Err(e)));
+        }
+        let mut polled = Pin::new(&mut self.body).poll_frame(cx);
+        match &mut polled {
+            Poll::Ready(None) if self.connection.is_some() => {
+                if let Err(e) = self.finish() {
+                    return Poll::Ready(Some(Err(e)));
+                }
+            }
             Poll::Ready(Some(Err(_))) => self.end("cut"),
             Poll::Ready(Some(Ok(frame))) => {
-                if let Some(data) = frame.data_ref().cloned() {
-                    self.record(&data);
+                if let Some(data) = frame.data_ref() {
+                    self.record(data);
                 }
-                if self.body.is_end_stream() {
-                    self.end("complete");
+                if self.body.is_end_stream()
+                    && let Err(e) = self.finish()
+                {
+                    // Without its last byte the body stays shorter than its content length.
+                    if let Some(data) = frame.data_mut() {
+                        data.truncate(data.len().saturating_sub(1));
+                    }
+                    self.failed = Some(e);
                 }
             }
-            Poll::Pending => {}
+            Poll::Ready(None) | Poll::Pending => {}
         }
         polled.map_err(BodyError::from)
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.failed.is_none() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/mimosa-gateway/src/response.rs
+++ b/crates/mimosa-gateway/src/response.rs
@@ -22,6 +22,12 @@
     /// The connection to the endpoint broke before the end of the response.
     #[error("the endpoint's response was truncated: {0}")]
     Truncated(#[from] hyper::Error),
+    /// The endpoint ended an event stream before the end of an event, or without any.
+    #[error("the endpoint's stream ended inside an event, after {events} complete ones")]
+    InsideEvent {
+        /// Number of complete events.
+        events: u64,
+    },
     /// The deadline of the request passed before the end of the response.
     #[error("the response was not complete at the deadline of the request")]
     DeadlinePassed,
