--- a/crates/mimosa-gateway/src/client_connection.rs
+++ b/crates/mimosa-gateway/src/client_connection.rs
@@ -9,14 +9,19 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use hyper::Version;
+use hyper::body::Body as _;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 use mimosa_route::ClientLimits;
+use mimosa_transport::socket;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -43,6 +48,8 @@
 pub(crate) struct ActivityTracker {
     phase: Mutex<Phase>,
     changed: Notify,
+    /// Whether a response failed whose end only the end of the connection marks.
+    has_truncated_response: AtomicBool,
 }
 
 /// Which timeout of a connection expired.
@@ -59,6 +66,7 @@
         Arc::new(Self {
             phase: Mutex::new(Phase::Idle(Instant::now())),
             changed: Notify::new(),
+            has_truncated_response: AtomicBool::new(false),
         })
     }
 
@@ -67,9 +75,12 @@
         self.set(Phase::Busy);
     }
 
-    /// Marks the connection as idle once the response body was sent completely or dropped.
-    pub(crate) fn idle_after(self: &Arc<Self>, body: Body) -> Body {
+    /// Marks the connection as idle once the response body was sent completely or dropped. `version`
+    /// is that of the request; before HTTP/1.1 there are no chunks.
+    pub(crate) fn idle_after(self: &Arc<Self>, version: Version, body: Body) -> Body {
         let body = TrackedBody {
+            may_end_with_connection: version < Version::HTTP_11
+                && body.size_hint().exact().is_none(),
             body,
             failed: None,
             tracker: Arc::clone(self),
@@ -118,6 +129,7 @@
 /// later: hyper discards the bytes that it has not written when a body fails.
 struct TrackedBody {
     body: Body,
+    may_end_with_connection: bool,
     failed: Option<BodyError>,
     tracker: Arc<ActivityTracker>,
 }
@@ -135,6 +147,12 @@
         }
         match Pin::new(&mut self.body).poll_frame(cx) {
             Poll::Ready(Some(Err(e))) => {
+                if self.may_end_with_connection {
+                    let tracker = &self.tracker;
+                    tracker
+                        .has_truncated_response
+                        .store(true, Ordering::Relaxed);
+                }
                 self.failed = Some(e);
                 cx.waker().wake_by_ref();
                 Poll::Pending
@@ -164,6 +182,15 @@
     pub(crate) tracker: Arc<ActivityTracker>,
 }
 
+impl Drop for TrackedStream {
+    fn drop(&mut self) {
+        // An orderly close would make the response look complete.
+        if self.tracker.has_truncated_response.load(Ordering::Relaxed) {
+            socket::reset_on_close(&self.stream);
+        }
+    }
+}
+
 impl AsyncRead for TrackedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/mimosa-gateway/src/server.rs
+++ b/crates/mimosa-gateway/src/server.rs
@@ -234,13 +234,14 @@
         stream,
         tracker: Arc::clone(&tracker),
     };
-    let service = service_fn(move |request| {
+    let service = service_fn(move |request: Request<Incoming>| {
         let shared = Arc::clone(&shared);
+        let version = request.version();
         let tracker = Arc::clone(&service_tracker);
         tracker.set_busy();
         async move {
             let result = serve::handle(shared, request).await;
-            result.map(|response| response.map(|body| tracker.idle_after(body)))
+            result.map(|response| response.map(|body| tracker.idle_after(version, body)))
         }
     });
     let max_head = usize::try_from(limits.max_head.0).unwrap_or(usize::MAX);
--- a/crates/mimosa-transport/src/socket.rs
+++ b/crates/mimosa-transport/src/socket.rs
@@ -41,3 +41,13 @@
         }
     }
 }
+
+/// Makes the close of a connection reset it and discard what was not sent, so that the peer reads an
+/// error in place of an orderly end.
+///
+/// A failure is logged and otherwise ignored.
+pub fn reset_on_close(stream: &TcpStream) {
+    if let Err(e) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        debug!("cannot set SO_LINGER: {e}");
+    }
+}
