--- a/crates/mimosa-gateway/src/dialect.rs
+++ b/crates/mimosa-gateway/src/dialect.rs
@@ -1,5 +1,6 @@
 //! Abstraction of the HTTP headers and bodies that clients and endpoints use.
 
+use std::fmt;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -26,6 +27,33 @@
     pub max_output_tokens: Option<Tokens>,
     /// The client's estimate of the number of output tokens; may be far off.
     pub expected_output_tokens: Option<Tokens>,
+    /// Parts of the prompt that other requests may contain as well, in order. The last part of a
+    /// prompt belongs to its request and is left out.
+    pub shared_parts: Vec<PromptPartId>,
+}
+
+/// Identifier that clients give to a part of a prompt; equal for the same content.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PromptPartId(pub String);
+
+impl fmt::Display for PromptPartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(&self.0)
+    }
+}
+
+impl RequestMetadata {
+    /// The shared parts for log lines, separated by commas; `none` without any.
+    pub(crate) fn shared_parts_text(&self) -> String {
+        match self.shared_parts.as_slice() {
+            [] => "none".to_owned(),
+            parts => parts
+                .iter()
+                .map(|part| part.0.as_str())
+                .collect::<Vec<_>>()
+                .join(","),
+        }
+    }
 }
 
 /// Parameters of one call to an endpoint.
--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -217,6 +217,7 @@
             let engine = engine.and_then(|service| service.engine);
             let info = StreamInfo {
                 attempt_id: request.metadata.attempt_id.clone(),
+                shared_parts: request.metadata.shared_parts_text(),
                 arrived: request.arrived,
                 deadline: request.deadline,
                 resumes: shared
@@ -230,8 +231,10 @@
         }
         Err(failure) => {
             info!(
-                "request={} step=decode outcome={failure:?} endpoint={}",
-                request.metadata.attempt_id, decode.listed.id
+                "request={} step=decode outcome={failure:?} endpoint={} parts={}",
+                request.metadata.attempt_id,
+                decode.listed.id,
+                request.metadata.shared_parts_text()
             );
             let id = decode.listed.id.clone();
             run.end(match failure {
--- a/crates/mimosa-gateway/src/relay.rs
+++ b/crates/mimosa-gateway/src/relay.rs
@@ -129,6 +129,8 @@
 pub(crate) struct StreamInfo {
     /// Attempt identifier for the log; empty if the end of the stream is not logged.
     pub(crate) attempt_id: String,
+    /// Shared parts of the prompt, for the log.
+    pub(crate) shared_parts: String,
     /// Arrival time of the request.
     pub(crate) arrived: Timestamp,
     /// When the response breaks off if it is not complete, which bounds responses without end.
@@ -274,7 +276,7 @@
             if !self.info.attempt_id.is_empty() {
                 info!(
                     "request={} step=stream outcome={outcome} endpoint={} events={} bytes={} \
-                     framing={} partial_bytes={} first_ms={} longest_pause_ms={} took_ms={}",
+                     framing={} partial_bytes={} first_ms={} longest_pause_ms={} took_ms={} parts={}",
                     self.info.attempt_id,
                     self.endpoint.listed.id,
                     self.events.count(),
@@ -287,7 +289,8 @@
                         .since(self.info.arrived)
                         .as_millis(),
                     self.timing.longest_pause.as_millis(),
-                    now.since(self.info.arrived).as_millis()
+                    now.since(self.info.arrived).as_millis(),
+                    self.info.shared_parts
                 );
             }
         }
