--- a/crates/mimosa-entry/tests/callers/http.rs
+++ b/crates/mimosa-entry/tests/callers/http.rs
@@ -50,6 +50,17 @@
         Self::post("/v1/chat/completions", &chat_body(content, false))
     }
 
+    /// A chat completion with several messages.
+    pub fn chat_with(contents: &[&str]) -> Self {
+        let messages: Vec<String> = contents
+            .iter()
+            .map(|content| format!(r#"{{"role": "user", "content": "{content}"}}"#))
+            .collect();
+        let messages = messages.join(", ");
+        let body = format!(r#"{{"model": "verse", "messages": [{messages}]}}"#);
+        Self::post("/v1/chat/completions", &body)
+    }
+
     /// A streamed chat completion.
     pub fn streamed(content: &str) -> Self {
         Self::post("/v1/chat/completions", &chat_body(content, true))
--- a/crates/mimosa-entry/tests/callers/quarantine.rs
+++ b/crates/mimosa-entry/tests/callers/quarantine.rs
@@ -61,3 +61,36 @@
     expect_that!(refused, ge(SENDS - MAX_CRASHES));
     fixture.wait_until_no_holds().await;
 }
+
+/// Crashes after which at most `MAX_LATE_CRASHES` more may follow.
+const PART_CRASHES: u64 = 5;
+const MAX_LATE_CRASHES: u64 = 3;
+
+#[googletest::test]
+#[tokio::test]
+async fn a_message_that_crashes_engines_is_quarantined_in_all_requests_that_contain_it() {
+    let engine = EngineSettings {
+        crash_marker: Some(POISON.to_owned()),
+        ..EngineSettings::default()
+    };
+    let fixture = Fixture::start(Setup {
+        engine,
+        ..Setup::default()
+    })
+    .await;
+    for number in 0..4 * SENDS {
+        let own = format!("question {number}");
+        fixture
+            .call(Call::chat_with(&["rules of the house", POISON, &own]))
+            .await;
+        let sound = fixture
+            .call(Call::chat_with(&["rules of the house", &own]))
+            .await;
+        expect_that!(sound.status, eq(200), "{number}: {}", sound.body);
+    }
+    expect_that!(
+        crashes(&fixture),
+        all![gt(0), le(PART_CRASHES + MAX_LATE_CRASHES)]
+    );
+    fixture.wait_until_no_holds().await;
+}
