--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -8,6 +8,8 @@
 
 use log::info;
 use log::warn;
+use mimosa_hold::part_quarantine::PartQuarantine;
+use mimosa_hold::part_quarantine::Suspects;
 use mimosa_limit::leaderless::AbsenceReport;
 use mimosa_limit::quota::InitialLevel;
 use mimosa_limit::quota::Quotas;
@@ -64,6 +66,8 @@
     started: std::time::Instant,
     wake_changed: Notify,
     overloaded: watch::Sender<Vec<(AccountId, u16)>>,
+    /// Number of changes of the suspects.
+    suspect_changes: watch::Sender<u64>,
     inner: Mutex<Inner>,
 }
 
@@ -85,6 +89,7 @@
             started: std::time::Instant::now(),
             wake_changed: Notify::new(),
             overloaded: watch::Sender::default(),
+            suspect_changes: watch::Sender::default(),
             inner: Mutex::new(Inner {
                 metrics: metrics.clone(),
                 tolerance,
@@ -210,6 +215,17 @@
         self.overloaded.subscribe()
     }
 
+    /// Changes when [`Self::suspects`] does.
+    pub fn suspect_changes(&self) -> watch::Receiver<u64> {
+        self.suspect_changes.subscribe()
+    }
+
+    /// The prompt parts and requests that may crash endpoints; none while this instance does not
+    /// lead.
+    pub fn suspects(&self) -> Suspects {
+        self.lock().quarantine.suspects(self.now())
+    }
+
     /// The number of gateways that are connected or within their reconnect time.
     pub fn gateways(&self) -> u32 {
         u32::try_from(self.lock().gateways.len()).unwrap_or(u32::MAX)
@@ -274,8 +290,42 @@
                 let id = request_id(number);
                 inner.handle_for_request(now, &id.clone(), Event::Started { id });
             }
+            GatewayMessage::ReportLostRun { .. }
+            | GatewayMessage::ReportSoundRun { .. }
+            | GatewayMessage::ReportSuspects(_)
+                if !inner.leads => {}
+            GatewayMessage::ReportLostRun {
+                service,
+                process,
+                ran_for,
+                parts,
+            } => {
+                info!(
+                    "service={service} endpoint={} gateway={gateway} state=lost_run ran_ms={}",
+                    process.endpoint,
+                    ran_for.as_millis()
+                );
+                let quarantine = &mut inner.quarantine;
+                let changed = quarantine.record_lost(now, &service, &parts, &process, ran_for);
+                self.publish_suspects(&inner, changed);
+            }
+            GatewayMessage::ReportSoundRun { service, parts } => {
+                let cleared = inner.quarantine.clear(now, &parts);
+                let changed = inner.quarantine.count_sound_run(&service);
+                self.publish_suspects(&inner, cleared || changed);
+            }
+            GatewayMessage::ReportSuspects(suspects) => {
+                let changed = inner.quarantine.merge(now, &suspects);
+                self.publish_suspects(&inner, changed);
+            }
             GatewayMessage::Ended { number, end } => {
                 let id = request_id(number);
+                if matches!(end, RunEnd::Complete(_))
+                    && let Some(service) = inner.requests.service(&id).cloned()
+                {
+                    let changed = inner.quarantine.count_sound_run(&service);
+                    self.publish_suspects(&inner, changed);
+                }
                 let did_not_run = matches!(end, RunEnd::NoCapacity | RunEnd::Unreachable(_));
                 let event = Event::Ended {
                     id: id.clone(),
@@ -314,6 +364,8 @@
             inner.charges.clear();
             inner.role_changes.clear();
             inner.quotas = Quotas::default();
+            inner.quarantine = PartQuarantine::default();
+            self.metrics.set_quarantined(0);
             inner.overloaded.clear();
             inner.routing_index = None;
         }
@@ -331,6 +383,8 @@
         self.publish_overloaded(now, &mut inner);
         if now.since(inner.last_summary_at) >= SUMMARY_INTERVAL {
             inner.last_summary_at = now;
+            inner.quarantine.expire(now);
+            self.metrics.set_quarantined(inner.quarantine.quarantined());
             let waiting = inner.fleets.values().map(FleetScheduler::waiting).sum();
             let running = inner.fleets.values().map(FleetScheduler::running).sum();
             self.metrics.set_requests("waiting", waiting);
@@ -343,6 +397,17 @@
         }
     }
 
+    fn publish_suspects(&self, inner: &Inner, is_changed: bool) {
+        if is_changed {
+            info!(
+                "suspects={} quarantined={}",
+                inner.quarantine.len(),
+                inner.quarantine.quarantined()
+            );
+            self.suspect_changes.send_modify(|changes| *changes += 1);
+        }
+    }
+
     /// Publishes the overloaded accounts when their parts have decreased much, and once per second.
     fn publish_overloaded(&self, now: Timestamp, inner: &mut Inner) {
         /// Bounds the message; there are seldom more than a few such accounts.
--- a/crates/mimosa-control/src/routing/dispatch/inner.rs
+++ b/crates/mimosa-control/src/routing/dispatch/inner.rs
@@ -8,6 +8,7 @@
 
 use log::info;
 use log::warn;
+use mimosa_hold::part_quarantine::PartQuarantine;
 use mimosa_limit::quota::InitialLevel;
 use mimosa_limit::quota::OverQuota;
 use mimosa_limit::quota::QuotaLimits;
@@ -64,6 +65,8 @@
     pub(super) disconnected: HashMap<InstanceId, Timestamp>,
     pub(super) table: RouteTable,
     pub(super) quotas: Quotas,
+    /// Prompt parts and requests that may crash endpoints.
+    pub(super) quarantine: PartQuarantine,
     /// The overloaded accounts that were last published, with the admitted part in thousandths.
     pub(super) overloaded: BTreeMap<AccountId, u16>,
     /// When they were last published.
--- a/crates/mimosa-control/src/routing/gateway_port.rs
+++ b/crates/mimosa-control/src/routing/gateway_port.rs
@@ -133,6 +133,8 @@
         let mut sent_list = Arc::new(PublishedList::default());
         let mut overloaded = self.dispatcher.overloaded_accounts();
         overloaded.mark_changed();
+        let mut suspects = self.dispatcher.suspect_changes();
+        suspects.mark_changed();
         loop {
             let frame = tokio::select! {
                 _ = ticks.tick() => Some(self.control_state()?),
@@ -141,6 +143,13 @@
                     let message = ControlMessage::OverloadedAccounts(accounts);
                     Some(frame::encode(&message)?.into())
                 }
+                Ok(()) = suspects.changed() => {
+                    let suspects = self.dispatcher.suspects();
+                    match suspects.suspects.is_empty() {
+                        true => None,
+                        false => Some(frame::encode(&ControlMessage::Suspects(suspects))?.into()),
+                    }
+                }
                 Ok(()) = routing.changed() => Some(self.control_state()?),
                 Ok(()) = self.endpoints.changed() => {
                     let published = Arc::clone(&self.endpoints.borrow_and_update());
--- a/crates/mimosa-control/src/routing/metrics.rs
+++ b/crates/mimosa-control/src/routing/metrics.rs
@@ -23,6 +23,7 @@
     committed: IntGauge,
     leads: IntGauge,
     gateways: IntGauge,
+    quarantined: IntGauge,
     may_order: IntGauge,
     quota_loans: IntCounterVec,
     sync_time: Histogram,
@@ -63,6 +64,10 @@
         );
         let leads = gauge("mimosa_control_leads", "1 while this instance leads");
         let gateways = gauge("mimosa_control_gateways", "Gateways that are connected");
+        let quarantined = gauge(
+            "mimosa_control_quarantined",
+            "Prompt parts and requests that the leader quarantines as they crash endpoints",
+        );
         let may_order = gauge(
             "mimosa_control_may_order",
             "1 while this instance leads and every earlier leader's lease on orders has ended",
@@ -103,6 +108,7 @@
             committed,
             leads,
             gateways,
+            quarantined,
             may_order,
             quota_loans,
             sync_time,
@@ -150,6 +156,12 @@
         self.0.leads.set(i64::from(leads));
     }
 
+    pub(crate) fn set_quarantined(&self, count: usize) {
+        self.0
+            .quarantined
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     pub(crate) fn set_gateways(&self, count: usize) {
         self.0
             .gateways
--- a/crates/mimosa-entry/src/attempt.rs
+++ b/crates/mimosa-entry/src/attempt.rs
@@ -221,7 +221,8 @@
     ) -> Result<SocketAddr, AttemptFailure> {
         let address = self.resolve_and_record_contact(endpoint)?;
         let quarantine = &self.shared.quarantine;
-        quarantine.record_start(self.id.request, request.fingerprint, endpoint.clone());
+        let now = self.shared.now();
+        quarantine.record_start(now, self.id.request, request, endpoint.clone());
         if !quarantine.knows_incarnation(endpoint) {
             tokio::spawn(fetch_incarnation(
                 Arc::clone(&self.shared),
@@ -289,6 +290,21 @@
         }
     }
 
+    /// Records that the answer is past its start, which clears the parts of its prompt.
+    pub(crate) fn record_sound(&self) {
+        let quarantine = &self.shared.quarantine;
+        quarantine.record_sound(self.shared.now(), self.id.request);
+    }
+
+    /// Ends an attempt whose stream broke off, and finds out whether its endpoint crashed.
+    pub(crate) fn end_broken(self) {
+        let failed = self.record_failure(EngineFailure::DISCONNECTED, &self.grant.decode);
+        tokio::spawn(async move {
+            self.check_for_crash(&failed).await;
+            self.release_and_end(AttemptEnd::Failed).await;
+        });
+    }
+
     pub(crate) fn report_progress(&self, output: Tokens) {
         self.queue.notify(Event::Progress {
             request: self.id.request,
--- a/crates/mimosa-entry/src/model_request.rs
+++ b/crates/mimosa-entry/src/model_request.rs
@@ -1,8 +1,10 @@
 //! Completion requests: the fields that routing needs, and the bodies sent to engines.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use axum::body::Bytes;
+use mimosa_hold::part_quarantine::RequestParts;
 use mimosa_hold::quarantine::Fingerprint;
 use mimosa_protocol::Refusal;
 use mimosa_protocol::RefusalReason;
@@ -25,6 +27,9 @@
 /// Maximum number of hashes in the prefix chain; the rest of a longer prompt is not hashed.
 const MAX_PREFIX_BLOCKS: usize = 16;
 
+/// Messages of a chat that are tracked as parts of their own.
+const MAX_SHARED_PARTS: usize = 64;
+
 /// The completion API that was called.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CompletionKind {
@@ -55,8 +60,9 @@
     pub(crate) max_output: Tokens,
     /// Hashes of the prompt's prefixes, by which the scheduler finds endpoints that cached them.
     pub(crate) prefix: Vec<u64>,
-    /// Identifies the request for the quarantine. Zero until the account is known.
-    pub(crate) fingerprint: Fingerprint,
+    /// Identifies the request and its parts for the quarantine. The fingerprint of the whole is zero
+    /// until the account is known.
+    pub(crate) parts: Arc<RequestParts>,
     fields: JsonFields,
 }
 
@@ -113,7 +119,10 @@
             prompt_tokens: Tokens((prompt.len() as u64).div_ceil(BYTES_PER_TOKEN)),
             max_output: max_output.map_or(DEFAULT_MAX_OUTPUT, Tokens),
             prefix: prefix_chain(prompt),
-            fingerprint: Fingerprint(0),
+            parts: Arc::new(RequestParts {
+                parts: shared_parts(kind, prompt),
+                ..RequestParts::default()
+            }),
             fields,
         })
     }
@@ -172,6 +181,28 @@
     serde_json::value::to_raw_value(value).expect("plain data is valid JSON")
 }
 
+/// Fingerprints of the parts of the prompt that other requests may contain: the messages of a chat
+/// but the last, or the prefixes of a text.
+fn shared_parts(kind: CompletionKind, prompt: &[u8]) -> Vec<Fingerprint> {
+    let of_part = |part: &[u8]| Fingerprint::of_part(part);
+    match kind {
+        CompletionKind::Text => {
+            let prefixes = prefix_chain(prompt).into_iter();
+            prefixes.map(|hash| of_part(&hash.to_le_bytes())).collect()
+        }
+        // Content that is no array has no parts; the engine rejects it.
+        CompletionKind::Chat => {
+            let messages: Vec<&RawValue> = serde_json::from_slice(prompt).unwrap_or_default();
+            let shared = messages.split_last().map_or(&[][..], |(_, shared)| shared);
+            shared
+                .iter()
+                .take(MAX_SHARED_PARTS)
+                .map(|message| of_part(message.get().as_bytes()))
+                .collect()
+        }
+    }
+}
+
 /// Hashes of increasingly long prefixes of the prompt, one for each full block.
 fn prefix_chain(prompt: &[u8]) -> Vec<u64> {
     prompt
--- a/crates/mimosa-entry/src/peers/message.rs
+++ b/crates/mimosa-entry/src/peers/message.rs
@@ -2,6 +2,7 @@
 //! defines how it recovers.
 
 use mimosa_hold::hold;
+use mimosa_hold::part_quarantine::Suspects;
 use mimosa_hold::quarantine;
 use mimosa_limit::message as limit;
 use mimosa_protocol::DataCentreId;
@@ -83,5 +84,7 @@
         HoldAck(hold::Ack),
         /// Quarantine records of requests that crashed endpoints.
         QuarantineDelta(quarantine::Delta),
+        /// Prompt parts and requests that may crash endpoints.
+        Suspects(Suspects),
     }
 }
--- a/crates/mimosa-entry/src/peers/serve.rs
+++ b/crates/mimosa-entry/src/peers/serve.rs
@@ -89,5 +89,10 @@
         PeerMessage::HoldReport(report) => shared.holds.on_report(shared, report),
         PeerMessage::HoldAck(ack) => shared.holds.on_ack(shared, ack),
         PeerMessage::QuarantineDelta(delta) => shared.quarantine.merge(shared.now(), from, &delta),
+        PeerMessage::Suspects(suspects) => {
+            shared
+                .quarantine
+                .merge_suspects(shared.now(), from, &suspects);
+        }
     }
 }
--- a/crates/mimosa-entry/src/relay.rs
+++ b/crates/mimosa-entry/src/relay.rs
@@ -23,6 +23,8 @@
 /// Minimum number of output tokens between progress reports to the scheduler.
 const PROGRESS_STEP: Tokens = Tokens(32);
 
+/// Output after which an answer counts as started, which clears the parts of its prompt.
+const SOUND_OUTPUT: Tokens = Tokens(8);
 /// Maximum size of an event; an incomplete event is buffered.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
@@ -37,6 +39,8 @@
     /// Holds back incomplete events, so that an error event never follows half of another.
     pub(crate) events: EventBuffer,
     pub(crate) scanner: Scanner,
+    /// Whether the answer is past its start.
+    pub(crate) is_sound: bool,
     /// Output tokens in the latest progress report.
     pub(crate) reported_output: Tokens,
     /// Notified when the scheduler aborts the attempt.
@@ -47,6 +51,8 @@
 enum StreamEvent {
     Bytes(Bytes),
     End,
+    /// The connection to the endpoint broke, or the stream is malformed.
+    Broken,
     Failed(RefusalReason),
 }
 
@@ -56,7 +62,7 @@
     pub(crate) async fn first_chunk(&mut self) -> Option<Bytes> {
         match self.next_event().await {
             StreamEvent::Bytes(bytes) => Some(bytes),
-            StreamEvent::End | StreamEvent::Failed(_) => None,
+            StreamEvent::End | StreamEvent::Broken | StreamEvent::Failed(_) => None,
         }
     }
 
@@ -77,10 +83,13 @@
                     relay.complete();
                     None
                 }
-                StreamEvent::End => Some((
-                    Ok(relay.error_event(RefusalReason::EndpointFailed)),
-                    (None, None),
-                )),
+                StreamEvent::End | StreamEvent::Broken => {
+                    if let Some(attempt) = relay.attempt.take() {
+                        attempt.end_broken();
+                    }
+                    let event = relay.error_event(RefusalReason::EndpointFailed);
+                    Some((Ok(event), (None, None)))
+                }
                 StreamEvent::Failed(reason) => Some((Ok(relay.error_event(reason)), (None, None))),
             }
         });
@@ -108,14 +117,14 @@
                         "request={} step=stream outcome=cut reason=\"{e}\"",
                         self.record.request
                     );
-                    return StreamEvent::Failed(RefusalReason::EndpointFailed);
+                    return StreamEvent::Broken;
                 }
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             self.record_output(&bytes);
             let events = self.events.push(&bytes);
             if self.events.partial_len() > MAX_EVENT_BYTES {
-                return StreamEvent::Failed(RefusalReason::EndpointFailed);
+                return StreamEvent::Broken;
             }
             if !events.is_empty() {
                 return StreamEvent::Bytes(events);
@@ -134,6 +143,10 @@
         if let Some(reservation) = &mut self.reservation {
             reservation.record_usage(prompt + output);
         }
+        if output >= SOUND_OUTPUT && !self.is_sound {
+            self.is_sound = true;
+            attempt.record_sound();
+        }
         if output >= self.reported_output + PROGRESS_STEP {
             self.reported_output = output;
             attempt.report_progress(output);
--- a/crates/mimosa-entry/src/route/completions.rs
+++ b/crates/mimosa-entry/src/route/completions.rs
@@ -151,10 +151,9 @@
         .ok_or(Refusal::not_run(RefusalReason::NotFound))?;
     let account = authorise(&shared, &caller, &service)?;
     let account_id = account.as_ref().map(|account| &account.id);
-    model_request.fingerprint = Fingerprint::of(account_id, &service.id, &body);
-    shared
-        .quarantine
-        .check(arrived, model_request.fingerprint)?;
+    let whole = Fingerprint::of(account_id, &service.id, &body);
+    Arc::make_mut(&mut model_request.parts).whole = whole;
+    shared.quarantine.check(arrived, &model_request.parts)?;
     let reservation = match &account {
         None => None,
         Some(account) => Some(reserve(&shared, request, account, model_request.cost()).await?),
@@ -186,7 +185,7 @@
         let shared = &admitted.shared;
         let quarantine = shared
             .quarantine
-            .check(shared.now(), admitted.model_request.fingerprint);
+            .check(shared.now(), &admitted.model_request.parts);
         quarantine.map_err(|refusal| attempts.merge_into(refusal))?;
         let submission = admitted.submission(attempts.avoid());
         let placed = Attempt::place(&admitted.shared, &queue, submission, attempts.number()).await;
@@ -321,6 +320,7 @@
         idle_timeout: admitted.shared.settings.limits.endpoint_silence,
         events: EventBuffer::default(),
         scanner: Scanner::default(),
+        is_sound: false,
         reported_output: Tokens::ZERO,
     };
     let Some(first) = relay.first_chunk().await else {
--- a/crates/mimosa-entry/src/suspects.rs
+++ b/crates/mimosa-entry/src/suspects.rs
@@ -2,12 +2,16 @@
 //! centre.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use mimosa_hold::part_quarantine::PartQuarantine;
+use mimosa_hold::part_quarantine::RequestParts;
+use mimosa_hold::part_quarantine::Suspects;
+use mimosa_hold::quarantine::CrashId;
 use mimosa_hold::quarantine::Delta;
-use mimosa_hold::quarantine::Fingerprint;
 use mimosa_hold::quarantine::Quarantine;
 use mimosa_hold::quarantine::QuarantineSettings;
 use mimosa_hold::quarantine::Verdict;
@@ -17,8 +21,10 @@
 use mimosa_protocol::Refusal;
 use mimosa_protocol::RefusalReason;
 use mimosa_protocol::RequestId;
+use mimosa_protocol::ServiceId;
 use mimosa_protocol::Timestamp;
 
+use crate::model_request::ModelRequest;
 use crate::peers::message::PeerMessage;
 use crate::shared::Shared;
 
@@ -27,6 +33,10 @@
 /// Maximum number of records in a gossip round; the rest follow in later rounds.
 const MAX_GOSSIP_RECORDS: usize = 64;
 
+/// Interval at which the suspects are sent even if they have not changed, for entries that missed
+/// them.
+const SUSPECTS_INTERVAL: Duration = Duration::from_secs(5);
+
 /// The quarantine and the last known incarnation of each endpoint.
 pub(crate) struct QuarantineTracker {
     inner: Mutex<Inner>,
@@ -34,17 +44,73 @@
 
 struct Inner {
     quarantine: Quarantine,
+    parts: PartQuarantine,
+    /// The requests that run and whose answers are not past their start.
+    starting: HashMap<RequestId, StartingRun>,
+    suspects_changed: bool,
+    suspects_sent_at: Timestamp,
     incarnations: HashMap<EndpointId, Incarnation>,
     /// Position of the last record sent to the other entries.
     gossiped_position: u64,
     gossiped_at: Timestamp,
 }
 
+/// A run whose loss would count against the parts of its prompt.
+struct StartingRun {
+    service: ServiceId,
+    parts: Arc<RequestParts>,
+    began: Timestamp,
+}
+
+impl Inner {
+    /// Records the crash of a process, and the runs that it took along.
+    fn record_crash(&mut self, now: Timestamp, endpoint: &EndpointId, incarnation: Incarnation) {
+        let lost = self.quarantine.crashed(now, endpoint.clone(), incarnation);
+        let process = CrashId {
+            endpoint: endpoint.clone(),
+            incarnation,
+        };
+        for run in lost
+            .iter()
+            .filter_map(|request| self.starting.remove(request))
+        {
+            let ran_for = now.since(run.began);
+            self.suspects_changed |=
+                self.parts
+                    .record_lost(now, &run.service, &run.parts, &process, ran_for);
+        }
+    }
+
+    /// The suspects to send to other entries now; none if they have not changed recently.
+    fn suspects_to_send(&mut self, now: Timestamp) -> Suspects {
+        self.parts.expire(now);
+        let is_due = now.since(self.suspects_sent_at) >= SUSPECTS_INTERVAL;
+        if !self.suspects_changed && !is_due {
+            return Suspects::default();
+        }
+        self.suspects_changed = false;
+        self.suspects_sent_at = now;
+        self.parts.suspects(now)
+    }
+
+    /// Records that the answer of a request is past its start.
+    fn record_sound(&mut self, now: Timestamp, request: RequestId) {
+        if let Some(run) = self.starting.remove(&request) {
+            self.suspects_changed |= self.parts.clear(now, &run.parts);
+            self.suspects_changed |= self.parts.count_sound_run(&run.service);
+        }
+    }
+}
+
 impl QuarantineTracker {
     pub(crate) fn new() -> Self {
         Self {
             inner: Mutex::new(Inner {
                 quarantine: Quarantine::new(QuarantineSettings::default()),
+                parts: PartQuarantine::default(),
+                starting: HashMap::new(),
+                suspects_changed: false,
+                suspects_sent_at: Timestamp::ZERO,
                 incarnations: HashMap::new(),
                 gossiped_position: 0,
                 gossiped_at: Timestamp::ZERO,
@@ -61,10 +127,15 @@
     /// # Errors
     ///
     /// [`RefusalReason::Quarantined`] with the rest of the quarantine as `retry_after`.
-    pub(crate) fn check(&self, now: Timestamp, fingerprint: Fingerprint) -> Result<(), Refusal> {
-        match self.lock().quarantine.check(now, fingerprint) {
-            Verdict::Clear | Verdict::Isolated => Ok(()),
-            Verdict::Quarantined { until } => {
+    pub(crate) fn check(&self, now: Timestamp, parts: &RequestParts) -> Result<(), Refusal> {
+        let inner = self.lock();
+        let whole = match inner.quarantine.check(now, parts.whole) {
+            Verdict::Clear | Verdict::Isolated => None,
+            Verdict::Quarantined { until } => Some(until),
+        };
+        match whole.max(inner.parts.quarantined_until(now, parts)) {
+            None => Ok(()),
+            Some(until) => {
                 let refusal = Refusal::not_run(RefusalReason::Quarantined);
                 Err(refusal.retry_after(until.since(now)))
             }
@@ -74,8 +145,9 @@
     /// Records that a request is sent to an endpoint.
     pub(crate) fn record_start(
         &self,
+        now: Timestamp,
         request: RequestId,
-        fingerprint: Fingerprint,
+        model_request: &ModelRequest,
         endpoint: EndpointId,
     ) {
         let mut inner = self.lock();
@@ -84,9 +156,16 @@
             .get(&endpoint)
             .copied()
             .unwrap_or_default();
+        let run = StartingRun {
+            service: model_request.service.clone(),
+            parts: Arc::clone(&model_request.parts),
+            began: now,
+        };
+        inner.starting.insert(request, run);
+        let whole = model_request.parts.whole;
         inner
             .quarantine
-            .started(request, fingerprint, endpoint, incarnation);
+            .started(request, whole, endpoint, incarnation);
     }
 
     /// Whether an endpoint has reported its incarnation since this entry started.
@@ -96,12 +175,21 @@
 
     /// Records that a request ended without a crash.
     pub(crate) fn record_end(&self, request: RequestId) {
-        self.lock().quarantine.stopped(request);
+        let mut inner = self.lock();
+        inner.quarantine.stopped(request);
+        inner.starting.remove(&request);
     }
 
     /// Records that a request completed, which clears it of suspicion.
     pub(crate) fn record_completion(&self, now: Timestamp, request: RequestId) {
-        self.lock().quarantine.completed(now, request);
+        let mut inner = self.lock();
+        inner.quarantine.completed(now, request);
+        inner.record_sound(now, request);
+    }
+
+    /// Records that the answer of a request is past its start, which clears the parts of its prompt.
+    pub(crate) fn record_sound(&self, now: Timestamp, request: RequestId) {
+        self.lock().record_sound(now, request);
     }
 
     /// Records the incarnation that an endpoint reported. A change means that the previous
@@ -115,7 +203,7 @@
         let mut inner = self.lock();
         let previous = inner.incarnations.insert(endpoint.clone(), incarnation);
         if let Some(previous) = previous.filter(|previous| *previous != incarnation) {
-            inner.quarantine.crashed(now, endpoint.clone(), previous);
+            inner.record_crash(now, endpoint, previous);
         }
     }
 
@@ -127,7 +215,7 @@
             .get(endpoint)
             .copied()
             .unwrap_or_default();
-        inner.quarantine.crashed(now, endpoint.clone(), incarnation);
+        inner.record_crash(now, endpoint, incarnation);
     }
 
     /// Merges records received from another entry.
@@ -140,6 +228,18 @@
         }
     }
 
+    /// Merges suspects received from another entry.
+    pub(crate) fn merge_suspects(&self, now: Timestamp, from: &InstanceId, suspects: &Suspects) {
+        let mut inner = self.lock();
+        if inner.parts.merge(now, suspects) {
+            log::info!(
+                "quarantine: {} prompt parts and requests are quarantined, after a message from entry \
+                 {from}",
+                inner.parts.quarantined()
+            );
+        }
+    }
+
     /// Removes expired records and sends the new ones to the other entries.
     pub(crate) fn tick(&self, shared: &Shared) {
         let now = shared.now();
@@ -153,14 +253,19 @@
             .quarantine
             .delta(inner.gossiped_position, MAX_GOSSIP_RECORDS);
         inner.gossiped_position = gossiped_position;
+        let suspects = inner.suspects_to_send(now);
         drop(inner);
-        if delta.records.is_empty() {
-            return;
-        }
         for (peer, _) in shared.network.peers_in(&shared.instance.data_centre) {
-            shared
-                .network
-                .send(&peer, PeerMessage::QuarantineDelta(delta.clone()));
+            if !delta.records.is_empty() {
+                shared
+                    .network
+                    .send(&peer, PeerMessage::QuarantineDelta(delta.clone()));
+            }
+            if !suspects.suspects.is_empty() {
+                shared
+                    .network
+                    .send(&peer, PeerMessage::Suspects(suspects.clone()));
+            }
         }
     }
 }
--- a/crates/mimosa-gateway/src/control_link.rs
+++ b/crates/mimosa-gateway/src/control_link.rs
@@ -86,6 +86,9 @@
                     send_hello(&shared, &tx);
                     shared.placement.on_connected(&instance, tx.clone());
                     shared.placement.report_running(shared.now(), &instance);
+                    if shared.directory.leader().as_ref() == Some(&instance) {
+                        report_suspects(&shared);
+                    }
                     outbox = Some(tx);
                 }
                 Event::Disconnected(reason) => {
@@ -133,7 +136,9 @@
                 shared.local_quota.configure(shared.now(), &table, gateways);
             }
             let leader = directory.leader();
-            shared.placement.set_leader(shared.now(), leader.as_ref());
+            if shared.placement.set_leader(shared.now(), leader.as_ref()) {
+                report_suspects(shared);
+            }
             shared.placement.report_active(shared.now(), instance);
             if leader.as_ref() == Some(instance) {
                 let now = shared.now();
@@ -182,6 +187,7 @@
             retry_after,
         } => shared.placement.on_rejected(number, reason, retry_after),
         ControlMessage::NotLeader { number } => shared.placement.on_not_leader(number),
+        ControlMessage::Suspects(suspects) => shared.suspects.on_suspects(shared.now(), &suspects),
     }
 }
 
@@ -194,6 +200,13 @@
     send(outbox, hello);
 }
 
+/// Sends the known suspects to a new leader, which starts without any.
+fn report_suspects(shared: &Shared) {
+    if let Some(report) = shared.suspects.report(shared.now()) {
+        shared.placement.send_to_leader(report);
+    }
+}
+
 /// Requests these buckets of the endpoint list, if there are any.
 fn request_buckets(outbox: &Outbox<GatewayMessage>, buckets: Vec<u16>) {
     if !buckets.is_empty() {
--- a/crates/mimosa-gateway/src/dialect.rs
+++ b/crates/mimosa-gateway/src/dialect.rs
@@ -27,9 +27,10 @@
     pub max_output_tokens: Option<Tokens>,
     /// The client's estimate of the number of output tokens; may be far off.
     pub expected_output_tokens: Option<Tokens>,
-    /// Parts of the prompt that other requests may contain as well, in order. The last part of a
-    /// prompt belongs to its request and is left out.
+    /// Parts of the prompt that other requests may contain as well, in order.
     pub shared_parts: Vec<PromptPartId>,
+    /// Last part of the prompt, which belongs to this request or to its session.
+    pub own_part: Option<PromptPartId>,
 }
 
 /// Identifier that clients give to a part of a prompt; equal for the same content.
--- a/crates/mimosa-gateway/src/dispatch.rs
+++ b/crates/mimosa-gateway/src/dispatch.rs
@@ -104,16 +104,24 @@
         }
     }
 
-    /// Sets the current leader. Reports all runs to a new leader.
-    pub(crate) fn set_leader(&self, now: Timestamp, leader: Option<&InstanceId>) {
+    /// Sets the current leader. Reports all runs to a new leader. Returns whether it is a new one.
+    pub(crate) fn set_leader(&self, now: Timestamp, leader: Option<&InstanceId>) -> bool {
         let mut inner = self.lock();
         if inner.leader.as_ref() == leader {
-            return;
+            return false;
         }
         inner.leader = leader.cloned();
         inner.backoff_until = Timestamp::ZERO;
         inner.redirect_pending();
         inner.report_runs(now, |_| true);
+        true
+    }
+
+    /// Sends a message to the leader. A message that cannot be sent is dropped.
+    pub(crate) fn send_to_leader(&self, message: GatewayMessage) {
+        if !self.lock().send(message) {
+            info!("dependency=scheduler message=dropped");
+        }
     }
 
     /// Reports all runs if the instance is the leader; called when its connection is established.
--- a/crates/mimosa-gateway/src/lib.rs
+++ b/crates/mimosa-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod local_quota;
 mod metrics;
 mod model;
+mod part_quarantine;
 mod plain;
 mod quota;
 mod relay;
--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -31,6 +31,7 @@
 use crate::dispatch::PlacedRun;
 use crate::dispatch::PlacementOutcome;
 use crate::head::IdentifiedRequest;
+use crate::part_quarantine::TrackedRun;
 use crate::quota;
 use crate::relay;
 use crate::relay::StreamInfo;
@@ -115,6 +116,12 @@
 ) -> Result<Response<Body>, Failure> {
     let mut last = None;
     for _ in 0..MAX_PLACEMENTS {
+        let allowed = shared
+            .suspects
+            .check(shared.now(), request, &client_request.parts);
+        if let Err(failure) = allowed {
+            return Err(last.map_or(failure, final_failure));
+        }
         let assignment = match place(shared, request, attempts).await {
             Ok(assignment) => assignment,
             Err(failure) => return Err(last.map_or(failure, final_failure)),
@@ -199,7 +206,9 @@
         Some(lease) => Step::Decode(lease.source()),
         None => Step::Full,
     };
-    let time_left = request.time_left(shared.now());
+    let tracked = TrackedRun::new(request.service.clone(), Arc::clone(&client_request.parts));
+    let sent = shared.now();
+    let time_left = request.time_left(sent);
     match upstream::call(shared, request, client_request, &decode, step, time_left).await {
         Ok(response) => {
             if let Some(lease) = attempts.kv_cache.take() {
@@ -225,6 +234,7 @@
                     .last_event_id(&client_request.headers)
                     .is_some(),
                 run: Some(run),
+                tracked: Some(tracked),
                 tokens_per_event: engine.map_or(Tokens(1), |engine| engine.tokens_per_event),
             };
             Ok(relay::stream(shared, response, info))
@@ -236,6 +246,10 @@
                 decode.listed.id,
                 request.metadata.shared_parts_text()
             );
+            if failure == upstream::CONNECTION_LOST {
+                let ran_for = shared.now().since(sent);
+                tracked.report_lost(&shared.placement, &decode.listed, ran_for);
+            }
             let id = decode.listed.id.clone();
             run.end(match failure {
                 CallFailure::NotRun => RunEnd::NoCapacity,
--- a/crates/mimosa-gateway/src/relay.rs
+++ b/crates/mimosa-gateway/src/relay.rs
@@ -28,6 +28,8 @@
 use crate::directory::EndpointEntry;
 use crate::directory::InFlightGuard;
 use crate::dispatch::PlacedRun;
+use crate::part_quarantine::SOUND_EVENTS;
+use crate::part_quarantine::TrackedRun;
 use crate::response;
 use crate::response::Body;
 use crate::response::BodyError;
@@ -139,6 +141,8 @@
     pub(crate) resumes: bool,
     /// Run to report progress for; `None` for plain services.
     pub(crate) run: Option<PlacedRun>,
+    /// The same run for the quarantine; `None` for plain services.
+    pub(crate) tracked: Option<TrackedRun>,
     /// Output tokens per event.
     pub(crate) tokens_per_event: Tokens,
 }
@@ -233,6 +237,19 @@
         }
         if self.is_event_stream {
             self.events.scan(data);
+            if self.events.count() >= SOUND_EVENTS {
+                self.record_sound();
+            }
+        }
+    }
+
+    /// Records that the answer is past its start.
+    fn record_sound(&mut self) {
+        if let Some(tracked) = &mut self.info.tracked
+            && !tracked.is_sound
+        {
+            let now = self.shared.now();
+            tracked.record_sound(now, &self.shared.suspects, &self.shared.placement);
         }
     }
 
@@ -258,8 +275,15 @@
                 "complete" => {
                     record_health(&self.endpoint, now, self.sent, false);
                     self.endpoint.pool.put(now, connection);
+                    self.record_sound();
+                }
+                "cut" => {
+                    self.endpoint.health().record_unreachable(now);
+                    if let Some(tracked) = &self.info.tracked {
+                        let ran_for = now.since(self.sent);
+                        tracked.report_lost(&self.shared.placement, &self.endpoint.listed, ran_for);
+                    }
                 }
-                "cut" => self.endpoint.health().record_unreachable(now),
                 _ => {}
             }
             if let Some(run) = self.info.run.take() {
--- a/crates/mimosa-gateway/src/response.rs
+++ b/crates/mimosa-gateway/src/response.rs
@@ -64,6 +64,9 @@
     OverQuota(Duration),
     /// The request costs more than the burst limit of the account.
     OverBurst,
+    /// The request was not executed, because requests like it crash endpoints; this time is left of
+    /// the quarantine.
+    Quarantined(Duration),
     /// The request may have been executed; its response is lost.
     Lost(&'static str),
     /// The deadline passed; the request may have been executed.
@@ -73,7 +76,9 @@
 impl Failure {
     pub(crate) const fn status(&self) -> StatusCode {
         match self {
-            Self::NoConfiguration | Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoConfiguration | Self::NotRun { .. } | Self::Quarantined(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
             // Clients do not retry this status unchanged.
             Self::OverBurst => StatusCode::PAYLOAD_TOO_LARGE,
@@ -101,6 +106,7 @@
             Self::NotRun { reason, .. } | Self::Lost(reason) => reason,
             Self::OverQuota(_) => "the quota is used up for now",
             Self::OverBurst => "the request is larger than the account's burst",
+            Self::Quarantined(_) => "requests with this prompt crash endpoints",
             Self::TimedOut => "timeout",
         }
     }
@@ -111,7 +117,9 @@
         const STARTUP_TIME: Duration = Duration::from_millis(500);
         match self {
             Self::NoConfiguration => Some(STARTUP_TIME),
-            Self::NotRun { retry_after, .. } | Self::OverQuota(retry_after) => Some(*retry_after),
+            Self::NotRun { retry_after, .. }
+            | Self::OverQuota(retry_after)
+            | Self::Quarantined(retry_after) => Some(*retry_after),
             _ => None,
         }
     }
--- a/crates/mimosa-gateway/src/serve.rs
+++ b/crates/mimosa-gateway/src/serve.rs
@@ -10,11 +10,13 @@
 use hyper::header;
 use hyper::header::HeaderValue;
 use log::info;
+use mimosa_hold::part_quarantine::RequestParts;
 
 use crate::body;
 use crate::head;
 use crate::head::IdentifiedRequest;
 use crate::model;
+use crate::part_quarantine;
 use crate::plain;
 use crate::quota;
 use crate::response::Body;
@@ -92,14 +94,21 @@
     let (head, body) = request.into_parts();
     let limits = identified.table.configuration().limits;
     let time_left = identified.time_left(shared.now());
+    let body = body::read(body, limits.max_body, time_left).await?;
+    let is_model = identified.route.retry_policy.is_stream();
+    let parts = match is_model {
+        true => part_quarantine::request_parts(identified, &head.uri, &body),
+        false => RequestParts::default(),
+    };
     let client_request = ClientRequest {
         method: head.method,
         uri: head.uri,
         headers: head.headers,
-        body: body::read(body, limits.max_body, time_left).await?,
+        body,
+        parts: Arc::new(parts),
     };
     shared.count_request(shared.now(), &identified.service);
-    if identified.route.retry_policy.is_stream() {
+    if is_model {
         model::serve(shared, identified, &client_request).await
     } else {
         quota::admit(shared, identified).await?;
--- a/crates/mimosa-gateway/src/shared.rs
+++ b/crates/mimosa-gateway/src/shared.rs
@@ -22,6 +22,7 @@
 use crate::dispatch::PlacementClient;
 use crate::local_quota::LocalQuota;
 use crate::metrics::Metrics;
+use crate::part_quarantine::KnownSuspects;
 use crate::settings::Reloadable;
 use crate::settings::Settings;
 
@@ -45,6 +46,8 @@
     pub(crate) directory: Directory,
     pub(crate) placement: Arc<PlacementClient>,
     pub(crate) local_quota: LocalQuota,
+    /// Prompt parts and requests that crash endpoints.
+    pub(crate) suspects: KnownSuspects,
     pub(crate) metrics: Metrics,
     /// Start of the drain in microseconds; 0 if the gateway is not draining.
     drain_started_us: AtomicU64,
@@ -72,6 +75,7 @@
             directory,
             placement: Arc::default(),
             local_quota: LocalQuota::default(),
+            suspects: KnownSuspects::default(),
             metrics: Metrics::new(),
             drain_started_us: AtomicU64::new(0),
             gateways: AtomicU32::new(ASSUMED_GATEWAYS),
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -15,6 +15,7 @@
 use hyper::header;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
+use mimosa_hold::part_quarantine::RequestParts;
 use mimosa_hold::retry::Evidence;
 use mimosa_hold::retry::Progress;
 use mimosa_hold::retry::execution_status;
@@ -62,6 +63,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Fingerprints of the content; empty for plain services.
+    pub(crate) parts: Arc<RequestParts>,
 }
 
 /// A response whose head has been received.
@@ -86,6 +89,10 @@
     TimedOut,
 }
 
+/// The endpoint closed the connection before a response.
+pub(crate) const CONNECTION_LOST: CallFailure =
+    CallFailure::Unknown("the endpoint broke the connection");
+
 impl CallFailure {
     /// Whether the request was certainly not executed.
     pub(crate) const fn has_not_run(self) -> bool {
@@ -222,7 +229,7 @@
         Ok(Err(e)) if e.is_canceled() => return Err(CallFailure::NotSent),
         Ok(Err(_)) => {
             endpoint.health().record_unreachable(now);
-            return Err(CallFailure::Unknown("the endpoint broke the connection"));
+            return Err(CONNECTION_LOST);
         }
         Err(_) => {
             endpoint.health().record_failure(now);
--- a/crates/mimosa-hold/src/lib.rs
+++ b/crates/mimosa-hold/src/lib.rs
@@ -5,11 +5,13 @@
 //! * [`attempt`] matches response chunks to attempts and discards late and misdirected ones.
 //! * [`events`] finds complete events in streams, which tells where a stream broke off.
 //! * [`quarantine`] identifies requests that crash the endpoints that run them.
+//! * [`part_quarantine`] identifies parts of prompts that do, in whatever request.
 
 pub mod attempt;
 pub mod events;
 pub mod hold;
 pub mod monitor;
 pub mod owner;
+pub mod part_quarantine;
 pub mod quarantine;
 pub mod retry;
--- /dev/null
+++ b/crates/mimosa-hold/src/part_quarantine.rs
@@ -0,0 +1,488 @@
+//! Identifies parts of prompts that crash endpoints, whatever else the requests with them contain.
+//!
+//! An endpoint crashes when it starts an answer on such a part. Each run that is lost with its
+//! endpoint at the start of its answer counts against the parts of its prompt, and against the
+//! request as a whole, which may be sent again. Runs that got further are sound and clear their
+//! parts. Sound runs are lost as well when they start beside the cause, so a part is quarantined
+//! only if all of these hold:
+//!
+//! * Several endpoints crashed, each under a run that began after the previous crash. Crashes with
+//!   a common cause, such as the loss of a data centre, count once.
+//! * Several different requests with the part were lost.
+//! * No run with the part was sound since the first of these crashes.
+//! * Other runs were sound meanwhile. Otherwise the service fails for all requests.
+//!
+//! A sound part that occurs in the same requests as the cause has the same crashes. A request is
+//! rejected only if no suspect that it does not contain explains the crashes of its own, so that
+//! requests with sound parts run and clear them.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use mimosa_protocol::ServiceId;
+use mimosa_protocol::Timestamp;
+use mimosa_protocol::data;
+
+use crate::quarantine::CrashId;
+use crate::quarantine::Fingerprint;
+
+/// Clearings are reported with a delay; a difference up to this is not a new one.
+const CLEARING_TOLERANCE: Duration = Duration::from_secs(1);
+/// A suspect explains the crashes of another one only if its own runs had not lasted longer than
+/// this multiple: the cause of a crash has just begun.
+const MAX_AGE_RATIO: u32 = 2;
+
+/// Settings of a [`PartQuarantine`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PartQuarantineSettings {
+    /// Crashes, and for parts also different requests, after which a suspect is quarantined.
+    pub crashes: usize,
+    /// Sound runs of the service since the first crash that a quarantine requires.
+    pub sound_runs: u64,
+    /// How long a crash counts, and how long a quarantine lasts after the last crash.
+    pub retention: Duration,
+    /// How long a clearing is sent to other instances.
+    pub clearing_retention: Duration,
+    /// Suspects sent to other instances; beyond it those with the fewest crashes are left out.
+    pub max_sent: usize,
+    /// Suspects kept; beyond it those with the fewest crashes are dropped.
+    pub max_suspects: usize,
+    /// Crashes kept per suspect; beyond it the oldest is dropped.
+    pub max_crashes: usize,
+}
+
+impl Default for PartQuarantineSettings {
+    fn default() -> Self {
+        Self {
+            crashes: 3,
+            sound_runs: 2,
+            retention: Duration::from_secs(1_800),
+            clearing_retention: Duration::from_secs(60),
+            max_sent: 256,
+            max_suspects: 4_096,
+            max_crashes: 16,
+        }
+    }
+}
+
+data! {
+    /// What a request has in common with others that may crash endpoints for the same reason.
+    #[derive(Default)]
+    pub struct RequestParts {
+        /// Fingerprint of the whole request, equal if it is sent again.
+        pub whole: Fingerprint,
+        /// Fingerprints of the parts of its prompt that other requests may contain.
+        pub parts: Vec<Fingerprint>,
+    }
+
+    /// Suspects, to be sent to other instances. Times are relative, because clocks differ.
+    #[derive(Default)]
+    pub struct Suspects {
+        /// The suspects by fingerprint.
+        pub suspects: Vec<(Fingerprint, Suspect)>,
+    }
+
+    /// Crashes of one part, or of one request, in a [`Suspects`] message.
+    pub struct Suspect {
+        /// Service whose endpoints crashed.
+        pub service: ServiceId,
+        /// The crashes since the last clearing.
+        pub crashes: Vec<SuspectCrash>,
+        /// Time since the last sound run after crashes; `None` without one.
+        pub cleared_for: Option<Duration>,
+        /// Whether requests with this suspect are rejected.
+        pub is_quarantined: bool,
+    }
+
+    /// One crash of a suspect.
+    pub struct SuspectCrash {
+        /// The process that crashed.
+        pub id: CrashId,
+        /// Fingerprint of the lost request.
+        pub request: Fingerprint,
+        /// Time since the crash.
+        pub age: Duration,
+        /// Time from the start of the lost run to the crash; the shortest of several runs.
+        pub ran_for: Duration,
+        /// Whether the lost run began after the previous crash that counts.
+        pub counts: bool,
+    }
+}
+
+impl RequestParts {
+    fn fingerprints(&self) -> impl Iterator<Item = Fingerprint> {
+        self.parts.iter().copied().chain([self.whole])
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Crash {
+    at: Timestamp,
+    ran_for: Duration,
+    request: Fingerprint,
+    counts: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Record {
+    service: ServiceId,
+    crashes: BTreeMap<CrashId, Crash>,
+    cleared: Option<Timestamp>,
+    /// Sound runs of the service before the first crash.
+    sound_runs_before: u64,
+    is_quarantined: bool,
+}
+
+impl Record {
+    fn new(service: ServiceId, sound_runs_before: u64) -> Self {
+        Self {
+            service,
+            crashes: BTreeMap::new(),
+            cleared: None,
+            sound_runs_before,
+            is_quarantined: false,
+        }
+    }
+
+    fn last_crash(&self) -> Option<Timestamp> {
+        self.crashes.values().map(|crash| crash.at).max()
+    }
+
+    /// Number of crashes that count: of different requests for a part, of any for a whole request.
+    fn count(&self, fingerprint: Fingerprint) -> usize {
+        let counted = self.crashes.values().filter(|crash| crash.counts);
+        let (own, other): (Vec<_>, Vec<_>) = counted
+            .map(|crash| crash.request)
+            .partition(|request| *request == fingerprint);
+        let different: BTreeSet<_> = other.into_iter().collect();
+        own.len().max(different.len())
+    }
+
+    /// Whether other instances must know the crashes: the next one may cause a quarantine, and sound
+    /// runs must be reported until then.
+    fn is_relevant(&self, fingerprint: Fingerprint, settings: &PartQuarantineSettings) -> bool {
+        self.is_quarantined || self.count(fingerprint) + 1 >= settings.crashes
+    }
+
+    fn clear(&mut self, at: Timestamp) -> bool {
+        let is_new = self
+            .cleared
+            .is_none_or(|cleared| at > cleared + CLEARING_TOLERANCE);
+        let before = self.crashes.len();
+        self.crashes.retain(|_, crash| crash.at > at);
+        let is_changed = self.crashes.len() != before || is_new;
+        if is_changed {
+            self.cleared = self.cleared.max(Some(at));
+            self.is_quarantined &= !self.crashes.is_empty();
+        }
+        is_changed
+    }
+
+    /// Adds a crash. Returns whether it was unknown.
+    fn add(&mut self, id: CrashId, crash: Crash, max_crashes: usize) -> bool {
+        let is_outdated = self.cleared.is_some_and(|cleared| crash.at <= cleared);
+        if is_outdated {
+            return false;
+        }
+        if let Some(known) = self.crashes.get_mut(&id) {
+            known.ran_for = known.ran_for.min(crash.ran_for);
+            return false;
+        }
+        self.crashes.insert(id, crash);
+        if self.crashes.len() > max_crashes {
+            let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.at);
+            if let Some(oldest) = oldest.map(|(id, _)| id.clone()) {
+                self.crashes.remove(&oldest);
+            }
+        }
+        true
+    }
+
+    /// Whether this suspect may be the cause of all crashes of another one: it crashed the same
+    /// processes, with runs that had begun as shortly before.
+    fn explains(&self, other: &Self) -> bool {
+        let mut own_time = Duration::ZERO;
+        let mut other_time = Duration::ZERO;
+        for (id, crash) in &other.crashes {
+            let Some(own) = self.crashes.get(id) else {
+                return false;
+            };
+            own_time += own.ran_for;
+            other_time += crash.ran_for;
+        }
+        self.service == other.service && own_time <= other_time * MAX_AGE_RATIO
+    }
+
+    fn expire(&mut self, now: Timestamp, settings: &PartQuarantineSettings) {
+        self.crashes
+            .retain(|_, crash| now.since(crash.at) < settings.retention);
+        self.cleared = self
+            .cleared
+            .filter(|at| now.since(*at) < settings.clearing_retention);
+        self.is_quarantined &= !self.crashes.is_empty();
+    }
+
+    fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.cleared.is_none()
+    }
+
+    fn to_suspect(&self, now: Timestamp) -> Suspect {
+        let crashes = self.crashes.iter();
+        Suspect {
+            service: self.service.clone(),
+            crashes: crashes
+                .map(|(id, crash)| SuspectCrash {
+                    id: id.clone(),
+                    request: crash.request,
+                    age: now.since(crash.at),
+                    ran_for: crash.ran_for,
+                    counts: crash.counts,
+                })
+                .collect(),
+            cleared_for: self.cleared.map(|at| now.since(at)),
+            is_quarantined: self.is_quarantined,
+        }
+    }
+}
+
+/// The suspects known to one instance.
+#[derive(Clone, Debug, Default)]
+pub struct PartQuarantine {
+    settings: PartQuarantineSettings,
+    records: BTreeMap<Fingerprint, Record>,
+    /// Number of sound runs of each service.
+    sound_runs: BTreeMap<ServiceId, u64>,
+}
+
+impl PartQuarantine {
+    /// Creates a quarantine without suspects.
+    pub fn new(settings: PartQuarantineSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Until when a request is rejected; `None` if it may run.
+    pub fn quarantined_until(&self, now: Timestamp, request: &RequestParts) -> Option<Timestamp> {
+        if self.records.is_empty() {
+            return None;
+        }
+        let quarantined = request.fingerprints().filter_map(|fingerprint| {
+            let record = self.records.get(&fingerprint)?;
+            let until = record.last_crash()? + self.settings.retention;
+            let is_rejected =
+                record.is_quarantined && now < until && !self.is_explained(now, record, request);
+            is_rejected.then_some(until)
+        });
+        quarantined.max()
+    }
+
+    /// Whether a quarantined suspect that a request does not contain explains all crashes of one
+    /// that it contains.
+    fn is_explained(&self, now: Timestamp, record: &Record, request: &RequestParts) -> bool {
+        let contained: BTreeSet<_> = request.fingerprints().collect();
+        let mut others = self.records.iter().filter(|(fingerprint, other)| {
+            other.is_quarantined && !contained.contains(fingerprint)
+        });
+        let is_recent = |other: &Record| {
+            let until = other.last_crash().map(|at| at + self.settings.retention);
+            until.is_some_and(|until| now < until)
+        };
+        others.any(|(_, other)| is_recent(other) && other.explains(record))
+    }
+
+    /// Whether a sound run with these parts clears a suspect, and so must be reported.
+    pub fn is_suspect(&self, request: &RequestParts) -> bool {
+        !self.records.is_empty()
+            && request.fingerprints().any(|fingerprint| {
+                let record = self.records.get(&fingerprint);
+                record.is_some_and(|record| !record.crashes.is_empty())
+            })
+    }
+
+    /// Records that a run was lost with its endpoint at the start of its answer, `ran_for` after it
+    /// had been sent there. Returns whether [`Self::suspects`] changed.
+    pub fn record_lost(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceId,
+        request: &RequestParts,
+        process: &CrashId,
+        ran_for: Duration,
+    ) -> bool {
+        let began = now.minus(ran_for);
+        let sound_runs = self.sound_runs.get(service).copied().unwrap_or_default();
+        let mut is_changed = false;
+        for fingerprint in request.fingerprints() {
+            let record = self
+                .records
+                .entry(fingerprint)
+                .or_insert_with(|| Record::new(service.clone(), sound_runs));
+            if record.crashes.is_empty() {
+                record.service = service.clone();
+                record.sound_runs_before = sound_runs;
+            }
+            let counted = record.crashes.values().filter(|crash| crash.counts);
+            let last_counted = counted.map(|crash| crash.at).max();
+            let crash = Crash {
+                at: now,
+                ran_for,
+                request: request.whole,
+                counts: last_counted.is_none_or(|last| began > last),
+            };
+            let is_new = record.add(process.clone(), crash, self.settings.max_crashes);
+            is_changed |= is_new && record.is_relevant(fingerprint, &self.settings);
+        }
+        self.enforce_limit(now);
+        self.update(service) || is_changed
+    }
+
+    /// Records that a run with these parts was sound, which clears them. Returns whether
+    /// [`Self::suspects`] changed.
+    pub fn clear(&mut self, now: Timestamp, request: &RequestParts) -> bool {
+        let mut is_changed = false;
+        for fingerprint in request.fingerprints() {
+            let Some(record) = self.records.get_mut(&fingerprint) else {
+                continue;
+            };
+            if record.crashes.is_empty() {
+                continue;
+            }
+            // Other instances only have to forget what they were sent.
+            if record.is_relevant(fingerprint, &self.settings) {
+                is_changed |= record.clear(now);
+            } else {
+                self.records.remove(&fingerprint);
+            }
+        }
+        is_changed
+    }
+
+    /// Counts a sound run of a service, with or without suspects. Returns whether [`Self::suspects`]
+    /// changed.
+    pub fn count_sound_run(&mut self, service: &ServiceId) -> bool {
+        match self.sound_runs.get_mut(service) {
+            Some(count) => *count += 1,
+            None => {
+                self.sound_runs.insert(service.clone(), 1);
+            }
+        }
+        self.update(service)
+    }
+
+    /// Quarantines the suspects of a service that meet all conditions. Returns whether there are new
+    /// ones.
+    fn update(&mut self, service: &ServiceId) -> bool {
+        let sound_runs = self.sound_runs.get(service).copied().unwrap_or_default();
+        let settings = self.settings;
+        let mut is_changed = false;
+        for (fingerprint, record) in &mut self.records {
+            let is_due = record.crashes.len() >= settings.crashes
+                && !record.is_quarantined
+                && record.service == *service
+                && sound_runs >= record.sound_runs_before + settings.sound_runs
+                && record.count(*fingerprint) >= settings.crashes;
+            if is_due {
+                record.is_quarantined = true;
+                is_changed = true;
+            }
+        }
+        is_changed
+    }
+
+    /// Merges the suspects of another instance. Returns whether anything changed.
+    pub fn merge(&mut self, now: Timestamp, suspects: &Suspects) -> bool {
+        let mut is_changed = false;
+        for (fingerprint, suspect) in &suspects.suspects {
+            let sound_runs = self.sound_runs.get(&suspect.service).copied();
+            let record = self.records.entry(*fingerprint).or_insert_with(|| {
+                Record::new(suspect.service.clone(), sound_runs.unwrap_or_default())
+            });
+            if let Some(age) = suspect.cleared_for {
+                is_changed |= record.clear(now.minus(age));
+            }
+            for crash in &suspect.crashes {
+                let known = Crash {
+                    at: now.minus(crash.age),
+                    ran_for: crash.ran_for,
+                    request: crash.request,
+                    counts: crash.counts,
+                };
+                is_changed |= record.add(crash.id.clone(), known, self.settings.max_crashes);
+            }
+            if suspect.is_quarantined && !record.is_quarantined && !record.crashes.is_empty() {
+                record.is_quarantined = true;
+                is_changed = true;
+            }
+        }
+        self.enforce_limit(now);
+        is_changed
+    }
+
+    /// The suspects that other instances must know: those one crash away from a quarantine, the
+    /// quarantined ones and the cleared ones.
+    pub fn suspects(&self, now: Timestamp) -> Suspects {
+        let settings = &self.settings;
+        let records = self.records.iter();
+        let mut relevant: Vec<_> = records
+            .filter(|(fingerprint, record)| {
+                record.cleared.is_some() || record.is_relevant(**fingerprint, settings)
+            })
+            .collect();
+        relevant.sort_by_key(|(_, record)| Reverse((record.is_quarantined, record.crashes.len())));
+        relevant.truncate(settings.max_sent);
+        let suspects = relevant.into_iter();
+        Suspects {
+            suspects: suspects
+                .map(|(fingerprint, record)| (*fingerprint, record.to_suspect(now)))
+                .collect(),
+        }
+    }
+
+    /// Number of parts and requests with crashes or a clearing.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether nothing has crashes or a clearing.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Number of quarantined parts and requests.
+    pub fn quarantined(&self) -> usize {
+        let records = self.records.values();
+        records.filter(|record| record.is_quarantined).count()
+    }
+
+    /// Drops expired crashes and clearings, and records without any.
+    pub fn expire(&mut self, now: Timestamp) {
+        let settings = self.settings;
+        self.records.retain(|_, record| {
+            record.expire(now, &settings);
+            !record.is_empty()
+        });
+    }
+
+    /// Limits the number of records. Those with the fewest crashes are dropped first, and the
+    /// longest unchanged of these; an eighth at once, as the selection sorts all.
+    fn enforce_limit(&mut self, now: Timestamp) {
+        let max = self.settings.max_suspects;
+        if self.records.len() <= max {
+            return;
+        }
+        self.expire(now);
+        let excess = self.records.len().saturating_sub(max - max / 8);
+        let rank = |(fingerprint, record): (&Fingerprint, &Record)| {
+            (record.crashes.len(), record.last_crash(), *fingerprint)
+        };
+        let mut order: Vec<_> = self.records.iter().map(rank).collect();
+        order.sort_unstable();
+        for (.., fingerprint) in order.into_iter().take(excess) {
+            self.records.remove(&fingerprint);
+        }
+    }
+}
--- a/crates/mimosa-hold/src/quarantine.rs
+++ b/crates/mimosa-hold/src/quarantine.rs
@@ -22,6 +22,7 @@
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::data;
 use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::xxh3_128;
 
 mod record;
 
@@ -53,7 +54,7 @@
 
 data! {
     /// Identifies requests with the same account, service and content.
-    #[derive(Copy, Hash, PartialOrd, Ord)]
+    #[derive(Copy, Default, Hash, PartialOrd, Ord)]
     #[serde(transparent)]
     pub struct Fingerprint(pub u128);
 
@@ -90,6 +91,11 @@
         }
         Self(hash.digest128())
     }
+
+    /// Computes the fingerprint of a part that several requests may contain, of any account.
+    pub fn of_part(content: &[u8]) -> Self {
+        Self(xxh3_128(content))
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/mimosa-route/src/message.rs
+++ b/crates/mimosa-route/src/message.rs
@@ -3,6 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use mimosa_hold::part_quarantine::RequestParts;
+use mimosa_hold::part_quarantine::Suspects;
+use mimosa_hold::quarantine::CrashId;
 use mimosa_protocol::AccountId;
 use mimosa_protocol::DataCentreId;
 use mimosa_protocol::InstanceId;
@@ -97,6 +100,27 @@
             /// Outcome of the run; [`RunEnd::Aborted`] if the request was only queued.
             end: RunEnd,
         },
+        /// A run was lost with its endpoint at the start of its answer.
+        ReportLostRun {
+            /// Service of the run.
+            service: ServiceId,
+            /// Process that ran it.
+            process: CrashId,
+            /// Time since the request was sent to the endpoint.
+            ran_for: Duration,
+            /// Parts of the request, which may be the cause of a crash.
+            parts: RequestParts,
+        },
+        /// A run got beyond the start of its answer, so its parts do not crash endpoints. Sent for
+        /// suspects, and for runs that were lost later.
+        ReportSoundRun {
+            /// Service of the run.
+            service: ServiceId,
+            /// Parts of the request.
+            parts: RequestParts,
+        },
+        /// The suspects that the gateway knows; sent to a new leader.
+        ReportSuspects(Suspects),
     }
 
     /// Messages from a control instance to a gateway.
@@ -158,6 +182,9 @@
             /// Request number, unique within one process lifetime of the gateway.
             number: u64,
         },
+        /// Prompt parts and requests that may crash endpoints, and which of them are quarantined.
+        /// Merged with those that the gateway knows.
+        Suspects(Suspects),
     }
 
     /// Cluster state as seen by one control instance.
