Find out whether an endpoint crashed when only its connection ends an answer

Before it gives the caller a proper end, a gateway now connects to the endpoint once more. If the address refuses and no other connection to it is open, the process has ended and the answer counts as cut. The connection is kept for the next request. Endpoints that drain, and those that refuse as they are at their connection limit, are left alone; a connection counts as open while its task runs, not while its last user holds it.

--- a/crates/mimosa-gateway/src/connection.rs
+++ b/crates/mimosa-gateway/src/connection.rs
@@ -1,6 +1,7 @@
 //! Pool of persistent connections to endpoints.
 
 use std::collections::VecDeque;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -56,14 +57,16 @@
     task: JoinHandle<()>,
     idle_since: Timestamp,
     idle_timeout: Duration,
-    _open: OpenConnectionGuard,
 }
 
+/// Counts a connection as open while its task runs.
 struct OpenConnectionGuard(Arc<AtomicU32>);
 
 /// Why no connection was available.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PoolError {
+    /// No process listens at the endpoint's address.
+    Refused,
     /// The endpoint did not accept a connection.
     Unreachable,
     /// This gateway has reached its connection limit for the endpoint.
@@ -95,6 +98,22 @@
         Connection::open(self.0.address, &self.0.open_connections).await
     }
 
+    /// Whether the endpoint's process has ended: its address refuses connections and none is open.
+    /// An endpoint at its connection limit may refuse them as well. A connection that is opened to
+    /// find out is kept for the next request.
+    pub(crate) async fn has_ended(&self, now: impl Fn() -> Timestamp) -> bool {
+        match Connection::open(self.0.address, &self.0.open_connections).await {
+            Ok(connection) => {
+                self.put(now(), connection);
+                false
+            }
+            Err(e) => {
+                let open = self.0.open_connections.load(Ordering::Relaxed);
+                e == PoolError::Refused && open == 0
+            }
+        }
+    }
+
     /// Returns a connection to the pool after its response was read completely.
     pub(crate) fn put(&self, now: Timestamp, mut connection: Connection) {
         connection.idle_since = now;
@@ -134,7 +153,10 @@
             Ok(Ok(stream)) => stream,
             Ok(Err(e)) => {
                 debug!("cannot connect to {address}: {e}");
-                return Err(PoolError::Unreachable);
+                return Err(match e.kind() {
+                    ErrorKind::ConnectionRefused => PoolError::Refused,
+                    _ => PoolError::Unreachable,
+                });
             }
             Err(_) => return Err(PoolError::Unreachable),
         };
@@ -146,6 +168,7 @@
             .await
             .map_err(|_| PoolError::Unreachable)?;
         let task = tokio::spawn(async move {
+            let _guard = guard;
             if let Err(e) = connection.await {
                 debug!("connection to {address} ended: {e}");
             }
@@ -155,7 +178,6 @@
             task,
             idle_since: Timestamp::ZERO,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
-            _open: guard,
         })
     }
 
--- a/crates/mimosa-gateway/src/relay.rs
+++ b/crates/mimosa-gateway/src/relay.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -121,6 +122,7 @@
         events: EventScanner::default(),
         timing: StreamTiming::default(),
         bytes: 0,
+        crash_check: None,
         failed: None,
     };
     Response::from_parts(head, body.boxed_unsync())
@@ -220,6 +222,8 @@
     events: EventScanner,
     timing: StreamTiming,
     bytes: u64,
+    /// Running check whether the endpoint crashed when its response ended.
+    crash_check: Option<Pin<Box<dyn Future<Output = bool> + Send>>>,
     /// Failure to report after the bytes that arrived with it.
     failed: Option<BodyError>,
 }
@@ -253,19 +257,61 @@
         }
     }
 
-    /// Ends a body whose last byte has arrived. An endpoint that crashes may close its connection
-    /// in order, so the framing alone does not show that an event stream is complete.
-    fn finish(&mut self) -> Result<(), BodyError> {
+    /// Checks that an event stream does not end inside an event, when its last byte has arrived. An
+    /// endpoint that crashes may close its connection in order, so the framing alone does not show
+    /// that a stream is complete.
+    fn check_events(&self) -> Result<(), BodyError> {
         let events = self.events.count();
         let is_inside_event = self.events.partial_bytes() > 0;
         let is_empty_run = self.info.run.is_some() && events == 0 && !self.info.resumes;
         let is_cut = is_inside_event || (is_empty_run && self.framing == Framing::Close);
-        if self.is_event_stream && is_cut {
+        match self.is_event_stream && is_cut {
+            true => Err(BodyError::InsideEvent { events }),
+            false => Ok(()),
+        }
+    }
+
+    /// Starts to check whether the endpoint crashed when its response ended, if only the end of the
+    /// connection marks the end. A draining endpoint may end after its last response.
+    fn start_crash_check(&mut self) -> bool {
+        let endpoints = self.shared.directory.endpoints();
+        let is_active = endpoints.get(&self.endpoint.listed.id).is_some();
+        if self.framing != Framing::Close || !is_active {
+            return false;
+        }
+        let shared = Arc::clone(&self.shared);
+        let pool = self.endpoint.pool.clone();
+        self.crash_check = Some(Box::pin(
+            async move { pool.has_ended(|| shared.now()).await },
+        ));
+        true
+    }
+
+    fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.connection.is_none() {
+            return Poll::Ready(None);
+        }
+        if self.crash_check.is_none() {
+            if let Err(e) = self.check_events() {
+                self.end("cut");
+                return Poll::Ready(Some(Err(e)));
+            }
+            if !self.start_crash_check() {
+                self.end("complete");
+                return Poll::Ready(None);
+            }
+        }
+        let has_ended = match &mut self.crash_check {
+            Some(check) => ready!(check.as_mut().poll(cx)),
+            None => false,
+        };
+        self.crash_check = None;
+        if has_ended {
             self.end("cut");
-            return Err(BodyError::InsideEvent { events });
+            return Poll::Ready(Some(Err(BodyError::EndpointEnded)));
         }
         self.end("complete");
-        Ok(())
+        Poll::Ready(None)
     }
 
     fn end(&mut self, outcome: &str) {
@@ -336,29 +382,32 @@
         if let Some(e) = self.failed.take() {
             return Poll::Ready(Some(Err(e)));
         }
+        if self.crash_check.is_some() {
+            return self.poll_end(cx);
+        }
         let mut polled = Pin::new(&mut self.body).poll_frame(cx);
         match &mut polled {
-            Poll::Ready(None) if self.connection.is_some() => {
-                if let Err(e) = self.finish() {
-                    return Poll::Ready(Some(Err(e)));
-                }
-            }
+            Poll::Ready(None) => return self.poll_end(cx),
             Poll::Ready(Some(Err(_))) => self.end("cut"),
             Poll::Ready(Some(Ok(frame))) => {
                 if let Some(data) = frame.data_ref() {
                     self.record(data);
                 }
-                if self.body.is_end_stream()
-                    && let Err(e) = self.finish()
-                {
-                    // Without its last byte the body stays shorter than its content length.
-                    if let Some(data) = frame.data_mut() {
-                        data.truncate(data.len().saturating_sub(1));
+                if self.body.is_end_stream() {
+                    match self.check_events() {
+                        Ok(()) => self.end("complete"),
+                        Err(e) => {
+                            self.end("cut");
+                            // Without its last byte the body stays shorter than its content length.
+                            if let Some(data) = frame.data_mut() {
+                                data.truncate(data.len().saturating_sub(1));
+                            }
+                            self.failed = Some(e);
+                        }
                     }
-                    self.failed = Some(e);
                 }
             }
-            Poll::Ready(None) | Poll::Pending => {}
+            Poll::Pending => {}
         }
         polled.map_err(BodyError::from)
     }
--- a/crates/mimosa-gateway/src/response.rs
+++ b/crates/mimosa-gateway/src/response.rs
@@ -28,6 +28,10 @@
         /// Number of complete events.
         events: u64,
     },
+    /// The endpoint's process ended together with a response whose end only the end of its
+    /// connection marks.
+    #[error("the endpoint ended with its response, which may be truncated")]
+    EndpointEnded,
     /// The deadline of the request passed before the end of the response.
     #[error("the response was not complete at the deadline of the request")]
     DeadlinePassed,
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -207,7 +207,7 @@
     });
     let mut connection = match endpoint.pool.take(now, max_connections).await {
         Ok(connection) => connection,
-        Err(PoolError::Unreachable) => {
+        Err(PoolError::Refused | PoolError::Unreachable) => {
             endpoint.health().record_unreachable(shared.now());
             return Err(CallFailure::NotSent);
         }
