--- a/crates/mimosa-gateway/src/connection.rs
+++ b/crates/mimosa-gateway/src/connection.rs
@@ -26,6 +26,7 @@
 use mimosa_transport::socket;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 /// Connect timeout; covers several round trips within a region. Waiting for the retransmission of a
@@ -36,6 +37,10 @@
 /// Part of the endpoint's keep-alive timeout that is used, in tenths. The rest is a margin for
 /// network latency.
 const KEEP_ALIVE_TENTHS: u32 = 7;
+/// Time in which the ends of all connections of a crashed endpoint are noticed. An endpoint that
+/// refuses connections but is well delays the end of a response by it.
+const CRASH_NOTICE_TIME: Duration = Duration::from_millis(60);
+const CRASH_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Maximum size of a response head. Bytes of a head without end are not read beyond it.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections per endpoint.
@@ -107,13 +112,20 @@
                 self.put(now(), connection);
                 false
             }
-            Err(e) => {
-                let open = self.0.open_connections.load(Ordering::Relaxed);
-                e == PoolError::Refused && open == 0
-            }
+            Err(e) => e == PoolError::Refused && self.have_all_ended().await,
         }
     }
 
+    /// Whether all connections end within [`CRASH_NOTICE_TIME`].
+    async fn have_all_ended(&self) -> bool {
+        let all_ended = async {
+            while self.0.open_connections.load(Ordering::Relaxed) > 0 {
+                sleep(CRASH_POLL_INTERVAL).await;
+            }
+        };
+        timeout(CRASH_NOTICE_TIME, all_ended).await.is_ok()
+    }
+
     /// Returns a connection to the pool after its response was read completely.
     pub(crate) fn put(&self, now: Timestamp, mut connection: Connection) {
         connection.idle_since = now;
