--- a/crates/mimosa-control/tests/dispatch.rs
+++ b/crates/mimosa-control/tests/dispatch.rs
@@ -20,9 +20,16 @@
 use mimosa_control::routing::OrderFencing;
 use mimosa_control::routing::RoutingOrders;
 use mimosa_control::settings::Discovery;
+use mimosa_hold::part_quarantine::PartQuarantine;
+use mimosa_hold::part_quarantine::RequestParts;
+use mimosa_hold::part_quarantine::Suspects;
+use mimosa_hold::quarantine::CrashId;
+use mimosa_hold::quarantine::Fingerprint;
 use mimosa_protocol::ByteRate;
 use mimosa_protocol::ByteSize;
+use mimosa_protocol::Incarnation;
 use mimosa_protocol::InstanceId;
+use mimosa_protocol::Timestamp;
 use mimosa_protocol::Tokens;
 use mimosa_protocol::configuration::EndpointRole;
 use mimosa_protocol::configuration::EndpointState;
@@ -232,6 +239,105 @@
     }
 }
 
+impl Gateway {
+    /// Reports that a request with this part was lost with an endpoint at the start of its answer.
+    async fn report_lost(&mut self, number: u64, part: &str) {
+        let message = GatewayMessage::ReportLostRun {
+            service: "verse".parse().unwrap(),
+            process: CrashId {
+                endpoint: format!("d-{number}").parse().unwrap(),
+                incarnation: Incarnation(number),
+            },
+            ran_for: Duration::from_millis(1),
+            parts: parts(&number.to_string(), part),
+        };
+        self.send(message).await;
+    }
+
+    /// Reports that a request with this part got past the start of its answer.
+    async fn report_sound(&mut self, number: u64, part: &str) {
+        let service = "verse".parse().unwrap();
+        let parts = parts(&number.to_string(), part);
+        self.send(GatewayMessage::ReportSoundRun { service, parts })
+            .await;
+    }
+
+    /// Waits for suspects of which one is quarantined.
+    async fn next_quarantine(&mut self) -> Suspects {
+        loop {
+            let message = frame::read(&mut self.stream).await.unwrap().unwrap();
+            if let ControlMessage::Suspects(suspects) = message
+                && suspects
+                    .suspects
+                    .iter()
+                    .any(|(_, each)| each.is_quarantined)
+            {
+                return suspects;
+            }
+        }
+    }
+}
+
+fn parts(name: &str, part: &str) -> RequestParts {
+    RequestParts {
+        whole: Fingerprint::of_part(name.as_bytes()),
+        parts: vec![Fingerprint::of_part(part.as_bytes())],
+    }
+}
+
+fn rejects(suspects: &Suspects, part: &str) -> bool {
+    let now = Timestamp::from_secs(50);
+    let mut quarantine = PartQuarantine::default();
+    quarantine.merge(now, suspects);
+    let request = parts("a new request", part);
+    quarantine.quarantined_until(now, &request).is_some()
+}
+
+/// Each gateway sees a single crash, so that none could tell the cause alone.
+#[googletest::test]
+#[tokio::test]
+async fn a_part_that_crashes_endpoints_through_different_gateways_is_quarantined_at_all_of_them() {
+    let (control, _folder) = start().await;
+    let mut gateways = Vec::new();
+    for number in 1..=3 {
+        gateways.push(Gateway::connect(&control, &format!("10.0.0.{number}")).await);
+    }
+    for (gateway, number) in gateways.iter_mut().zip(1..) {
+        gateway.report_lost(number, "bad").await;
+        gateway.report_sound(number + 10, "sound").await;
+        // Crashes count one by one, each under a run that began after the one before.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    for gateway in &mut gateways {
+        let suspects = gateway.next_quarantine().await;
+        expect_that!(rejects(&suspects, "bad"), eq(true));
+        expect_that!(rejects(&suspects, "sound"), eq(false));
+    }
+    // A gateway that connects later.
+    let mut late = Gateway::connect(&control, "10.0.0.9").await;
+    let suspects = late.next_quarantine().await;
+    expect_that!(rejects(&suspects, "bad"), eq(true));
+}
+
+/// A new leader knows nothing of the crashes before its time.
+#[googletest::test]
+#[tokio::test]
+async fn a_new_leader_takes_over_the_suspects_that_a_gateway_knows() {
+    let (first, _folder) = start().await;
+    let mut gateway = Gateway::connect(&first, "10.0.0.1").await;
+    for number in 1..=3 {
+        gateway.report_lost(number, "bad").await;
+        gateway.report_sound(number + 10, "sound").await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let suspects = gateway.next_quarantine().await;
+    let (successor, _folder) = start().await;
+    let mut gateway = Gateway::connect(&successor, "10.0.0.1").await;
+    let mut other = Gateway::connect(&successor, "10.0.0.2").await;
+    gateway.send(GatewayMessage::ReportSuspects(suspects)).await;
+    expect_that!(rejects(&other.next_quarantine().await, "bad"), eq(true));
+}
+
 #[googletest::test]
 #[tokio::test]
 async fn request_waits_in_the_queue_until_the_previous_one_ends() {
