Send the suspects to a leader once in each of its terms

Found while reading the change: a leader that lost its lead and was elected again, without another leader that the gateways heard of, had forgotten the suspects and was not sent them. Gateways now go by the term.

--- a/crates/mimosa-gateway/src/control_link.rs
+++ b/crates/mimosa-gateway/src/control_link.rs
@@ -136,11 +136,12 @@
                 shared.local_quota.configure(shared.now(), &table, gateways);
             }
             let leader = directory.leader();
-            if shared.placement.set_leader(shared.now(), leader.as_ref()) {
-                report_suspects(shared);
-            }
+            shared.placement.set_leader(shared.now(), leader.as_ref());
             shared.placement.report_active(shared.now(), instance);
             if leader.as_ref() == Some(instance) {
+                if shared.suspects.is_new_term(state.term) {
+                    report_suspects(shared);
+                }
                 let now = shared.now();
                 if let Some(report) = shared.local_quota.on_leader_heard(now, state.term) {
                     let AbsenceReport { absence, used } = report;
--- a/crates/mimosa-gateway/src/dispatch.rs
+++ b/crates/mimosa-gateway/src/dispatch.rs
@@ -104,17 +104,16 @@
         }
     }
 
-    /// Sets the current leader. Reports all runs to a new leader. Returns whether it is a new one.
-    pub(crate) fn set_leader(&self, now: Timestamp, leader: Option<&InstanceId>) -> bool {
+    /// Sets the current leader. Reports all runs to a new leader.
+    pub(crate) fn set_leader(&self, now: Timestamp, leader: Option<&InstanceId>) {
         let mut inner = self.lock();
         if inner.leader.as_ref() == leader {
-            return false;
+            return;
         }
         inner.leader = leader.cloned();
         inner.backoff_until = Timestamp::ZERO;
         inner.redirect_pending();
         inner.report_runs(now, |_| true);
-        true
     }
 
     /// Sends a message to the leader. A message that cannot be sent is dropped.
--- a/crates/mimosa-gateway/src/part_quarantine.rs
+++ b/crates/mimosa-gateway/src/part_quarantine.rs
@@ -5,6 +5,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hyper::Uri;
@@ -30,7 +32,11 @@
 
 /// The suspects known to this gateway.
 #[derive(Default)]
-pub(crate) struct KnownSuspects(Mutex<PartQuarantine>);
+pub(crate) struct KnownSuspects {
+    quarantine: Mutex<PartQuarantine>,
+    /// Newest term of a leader that was sent the suspects.
+    reported_term: AtomicU64,
+}
 
 impl KnownSuspects {
     /// Checks that a request may run.
@@ -69,6 +75,12 @@
         }
     }
 
+    /// Whether a leader of this term has not been sent the suspects yet. A leader forgets them when
+    /// it loses its lead, even if it is elected again.
+    pub(crate) fn is_new_term(&self, term: u64) -> bool {
+        self.reported_term.fetch_max(term, Ordering::Relaxed) < term
+    }
+
     /// The known suspects, for a new leader; `None` without any.
     pub(crate) fn report(&self, now: Timestamp) -> Option<GatewayMessage> {
         let suspects = self.lock().suspects(now);
@@ -76,7 +88,9 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, PartQuarantine> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.quarantine
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
 
