Let entries count together the crashes that each of them saw alone

Found while reading the change: entries sent each other only suspects with two crashes, as gateways get them from a leader that counts, so three entries that saw one crash each never added them up. They now send suspects from the first crash, and again only while something is quarantined. Whether a crash counts is worked out from all known crashes in place of a mark set where it was seen, so crashes with a common cause count once across entries as well.

Two tests of it; nothing changes for gateways: the same crashes are sent from the second on, and count by the same rule.

--- a/crates/mimosa-entry/src/suspects.rs
+++ b/crates/mimosa-entry/src/suspects.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use mimosa_hold::part_quarantine::PartQuarantine;
+use mimosa_hold::part_quarantine::PartQuarantineSettings;
 use mimosa_hold::part_quarantine::RequestParts;
 use mimosa_hold::part_quarantine::Suspects;
 use mimosa_hold::quarantine::CrashId;
@@ -33,8 +34,7 @@
 /// Maximum number of records in a gossip round; the rest follow in later rounds.
 const MAX_GOSSIP_RECORDS: usize = 64;
 
-/// Interval at which the suspects are sent even if they have not changed, for entries that missed
-/// them.
+/// Interval at which the suspects are sent while some are quarantined, for entries that missed them.
 const SUSPECTS_INTERVAL: Duration = Duration::from_secs(5);
 
 /// The quarantine and the last known incarnation of each endpoint.
@@ -84,7 +84,8 @@
     /// The suspects to send to other entries now; none if they have not changed recently.
     fn suspects_to_send(&mut self, now: Timestamp) -> Suspects {
         self.parts.expire(now);
-        let is_due = now.since(self.suspects_sent_at) >= SUSPECTS_INTERVAL;
+        let is_due =
+            self.parts.quarantined() > 0 && now.since(self.suspects_sent_at) >= SUSPECTS_INTERVAL;
         if !self.suspects_changed && !is_due {
             return Suspects::default();
         }
@@ -107,7 +108,10 @@
         Self {
             inner: Mutex::new(Inner {
                 quarantine: Quarantine::new(QuarantineSettings::default()),
-                parts: PartQuarantine::default(),
+                parts: PartQuarantine::new(PartQuarantineSettings {
+                    sent_crashes: 1,
+                    ..PartQuarantineSettings::default()
+                }),
                 starting: HashMap::new(),
                 suspects_changed: false,
                 suspects_sent_at: Timestamp::ZERO,
--- a/crates/mimosa-hold/src/part_quarantine.rs
+++ b/crates/mimosa-hold/src/part_quarantine.rs
@@ -43,6 +43,9 @@
     pub sound_runs: u64,
     /// How long a crash counts, and how long a quarantine lasts after the last crash.
     pub retention: Duration,
+    /// Crashes from which other instances must know a suspect. Instances that count together what
+    /// each of them sees need 1; with a leader that counts, one crash before the quarantine is enough.
+    pub sent_crashes: usize,
     /// How long a clearing is sent to other instances.
     pub clearing_retention: Duration,
     /// Suspects sent to other instances; beyond it those with the fewest crashes are left out.
@@ -59,6 +62,7 @@
             crashes: 3,
             sound_runs: 2,
             retention: Duration::from_secs(1_800),
+            sent_crashes: 2,
             clearing_retention: Duration::from_secs(60),
             max_sent: 256,
             max_suspects: 4_096,
@@ -106,8 +110,6 @@
         pub age: Duration,
         /// Time from the start of the lost run to the crash; the shortest of several runs.
         pub ran_for: Duration,
-        /// Whether the lost run began after the previous crash that counts.
-        pub counts: bool,
     }
 }
 
@@ -122,7 +124,6 @@
     at: Timestamp,
     ran_for: Duration,
     request: Fingerprint,
-    counts: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -150,20 +151,33 @@
         self.crashes.values().map(|crash| crash.at).max()
     }
 
+    /// The crashes whose runs began after the previous one that counts, oldest first.
+    fn counted(&self) -> impl Iterator<Item = &Crash> {
+        let mut crashes: Vec<_> = self.crashes.values().collect();
+        crashes.sort_by_key(|crash| crash.at);
+        let mut last = None;
+        crashes.into_iter().filter(move |crash| {
+            let counts = last.is_none_or(|last| crash.at.minus(crash.ran_for) > last);
+            if counts {
+                last = Some(crash.at);
+            }
+            counts
+        })
+    }
+
     /// Number of crashes that count: of different requests for a part, of any for a whole request.
     fn count(&self, fingerprint: Fingerprint) -> usize {
-        let counted = self.crashes.values().filter(|crash| crash.counts);
-        let (own, other): (Vec<_>, Vec<_>) = counted
+        let (own, other): (Vec<_>, Vec<_>) = self
+            .counted()
             .map(|crash| crash.request)
             .partition(|request| *request == fingerprint);
         let different: BTreeSet<_> = other.into_iter().collect();
         own.len().max(different.len())
     }
 
-    /// Whether other instances must know the crashes: the next one may cause a quarantine, and sound
-    /// runs must be reported until then.
+    /// Whether other instances must know the crashes.
     fn is_relevant(&self, fingerprint: Fingerprint, settings: &PartQuarantineSettings) -> bool {
-        self.is_quarantined || self.count(fingerprint) + 1 >= settings.crashes
+        self.is_quarantined || self.count(fingerprint) >= settings.sent_crashes
     }
 
     fn clear(&mut self, at: Timestamp) -> bool {
@@ -238,7 +252,6 @@
                     request: crash.request,
                     age: now.since(crash.at),
                     ran_for: crash.ran_for,
-                    counts: crash.counts,
                 })
                 .collect(),
             cleared_for: self.cleared.map(|at| now.since(at)),
@@ -313,7 +326,6 @@
         process: &CrashId,
         ran_for: Duration,
     ) -> bool {
-        let began = now.minus(ran_for);
         let sound_runs = self.sound_runs.get(service).copied().unwrap_or_default();
         let mut is_changed = false;
         for fingerprint in request.fingerprints() {
@@ -325,13 +337,10 @@
                 record.service = service.clone();
                 record.sound_runs_before = sound_runs;
             }
-            let counted = record.crashes.values().filter(|crash| crash.counts);
-            let last_counted = counted.map(|crash| crash.at).max();
             let crash = Crash {
                 at: now,
                 ran_for,
                 request: request.whole,
-                counts: last_counted.is_none_or(|last| began > last),
             };
             let is_new = record.add(process.clone(), crash, self.settings.max_crashes);
             is_changed |= is_new && record.is_relevant(fingerprint, &self.settings);
@@ -409,7 +418,6 @@
                     at: now.minus(crash.age),
                     ran_for: crash.ran_for,
                     request: crash.request,
-                    counts: crash.counts,
                 };
                 is_changed |= record.add(crash.id.clone(), known, self.settings.max_crashes);
             }
@@ -422,8 +430,8 @@
         is_changed
     }
 
-    /// The suspects that other instances must know: those one crash away from a quarantine, the
-    /// quarantined ones and the cleared ones.
+    /// The suspects that other instances must know: those with several crashes, the quarantined ones
+    /// and the cleared ones.
     pub fn suspects(&self, now: Timestamp) -> Suspects {
         let settings = &self.settings;
         let records = self.records.iter();
--- a/crates/mimosa-hold/tests/part_quarantine.rs
+++ b/crates/mimosa-hold/tests/part_quarantine.rs
@@ -4,6 +4,7 @@
 
 use googletest::prelude::*;
 use mimosa_hold::part_quarantine::PartQuarantine;
+use mimosa_hold::part_quarantine::PartQuarantineSettings;
 use mimosa_hold::part_quarantine::RequestParts;
 use mimosa_hold::quarantine::CrashId;
 use mimosa_hold::quarantine::Fingerprint;
@@ -290,6 +291,61 @@
     );
 }
 
+/// Entries have no leader that counts: each sees one crash, and they exchange what they saw.
+#[gtest]
+fn instances_that_saw_one_crash_each_quarantine_the_part_together() {
+    let settings = PartQuarantineSettings {
+        sent_crashes: 1,
+        ..PartQuarantineSettings::default()
+    };
+    let mut entries: Vec<_> = (0..3).map(|_| PartQuarantine::new(settings)).collect();
+    let now = |number: usize| at(500 * number as u64);
+    for number in 0..3 {
+        let own = request(&number.to_string(), &[BAD]);
+        let process = process(number as u64);
+        entries[number].record_lost(now(number), &service(), &own, &process, RUN_TIME);
+        let suspects = entries[number].suspects(now(number));
+        for other in &mut entries {
+            other.merge(now(number), &suspects);
+        }
+    }
+    for entry in &mut entries {
+        entry.count_sound_run(&service());
+        entry.count_sound_run(&service());
+        let until = entry.quarantined_until(now(3), &request("new", &[BAD]));
+        expect_that!(until, some(gt(now(3))));
+    }
+}
+
+/// Each entry sees one of the crashes, all at the same time.
+#[gtest]
+fn crashes_with_a_common_cause_count_once_for_instances_that_exchange_them() {
+    let settings = PartQuarantineSettings {
+        sent_crashes: 1,
+        ..PartQuarantineSettings::default()
+    };
+    let mut entries: Vec<_> = (0..4).map(|_| PartQuarantine::new(settings)).collect();
+    for (entry, number) in entries.iter_mut().zip(0..) {
+        let own = request(&number.to_string(), &["popular"]);
+        let ran_for = Duration::from_millis(300);
+        entry.record_lost(at(number), &service(), &own, &process(number), ran_for);
+    }
+    let known: Vec<_> = entries.iter().map(|entry| entry.suspects(at(10))).collect();
+    for entry in &mut entries {
+        for suspects in &known {
+            entry.merge(at(10), suspects);
+        }
+        entry.count_sound_run(&service());
+        entry.count_sound_run(&service());
+    }
+    for entry in &entries {
+        expect_that!(
+            entry.quarantined_until(at(20), &request("new", &["popular"])),
+            none()
+        );
+    }
+}
+
 #[gtest]
 fn a_clearing_wins_over_older_crashes_of_other_instances() {
     let mut fleet = Fleet::new();
