--- a/crates/mimosa-entry/tests/callers/quarantine.rs
+++ b/crates/mimosa-entry/tests/callers/quarantine.rs
@@ -14,6 +14,19 @@
 /// Maximum number of crashes before the request must be quarantined.
 const MAX_CRASHES: u64 = 3;
 
+/// A fixture whose engines crash when a prompt contains `POISON`.
+async fn fixture_with_crashing_prompt() -> Fixture {
+    let engine = EngineSettings {
+        crash_marker: Some(POISON.to_owned()),
+        ..EngineSettings::default()
+    };
+    Fixture::start(Setup {
+        engine,
+        ..Setup::default()
+    })
+    .await
+}
+
 fn crashes(fixture: &Fixture) -> u64 {
     let engines = std::iter::once(&fixture.prefill).chain(&fixture.decodes);
     engines.map(mimosa_standin::Engine::crashes).sum()
@@ -22,15 +35,7 @@
 #[googletest::test]
 #[tokio::test]
 async fn a_request_that_crashes_engines_is_quarantined_while_others_are_served() {
-    let engine = EngineSettings {
-        crash_marker: Some(POISON.to_owned()),
-        ..EngineSettings::default()
-    };
-    let fixture = Fixture::start(Setup {
-        engine,
-        ..Setup::default()
-    })
-    .await;
+    let fixture = fixture_with_crashing_prompt().await;
     let mut refused = 0;
     for number in 0..SENDS {
         let before = crashes(&fixture);
@@ -69,15 +74,7 @@
 #[googletest::test]
 #[tokio::test]
 async fn a_message_that_crashes_engines_is_quarantined_in_all_requests_that_contain_it() {
-    let engine = EngineSettings {
-        crash_marker: Some(POISON.to_owned()),
-        ..EngineSettings::default()
-    };
-    let fixture = Fixture::start(Setup {
-        engine,
-        ..Setup::default()
-    })
-    .await;
+    let fixture = fixture_with_crashing_prompt().await;
     for number in 0..4 * SENDS {
         let own = format!("question {number}");
         fixture
