Count crashes by when they happened, also those without a leader

Cause: the leader dated a crash by the arrival of its report. Reports that a slow link or a busy machine delivers together then count as one crash, because each run seems to have begun before the crash before. The test relied on pauses of 20 ms between its reports; three that arrive together never reach the quarantine it waits for. The same design lost crashes altogether while there was no leader: their reports were dropped.

A report now carries its age, and a gateway reports its lost runs of the last 30 s again to a new leader and after a reconnect, without parts that it has seen sound since. The tests state ages instead of sleeping; their assertions are the same. Control instances tell the address of their metrics, and the count of quarantined suspects changes at once.

--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -298,15 +298,19 @@
                 service,
                 process,
                 ran_for,
+                age,
                 parts,
             } => {
                 info!(
-                    "service={service} endpoint={} gateway={gateway} state=lost_run ran_ms={}",
+                    "service={service} endpoint={} gateway={gateway} state=lost_run ran_ms={} \
+                     age_ms={}",
                     process.endpoint,
-                    ran_for.as_millis()
+                    ran_for.as_millis(),
+                    age.as_millis()
                 );
+                let lost_at = now.minus(age);
                 let quarantine = &mut inner.quarantine;
-                let changed = quarantine.record_lost(now, &service, &parts, &process, ran_for);
+                let changed = quarantine.record_lost(lost_at, &service, &parts, &process, ran_for);
                 self.publish_suspects(&inner, changed);
             }
             GatewayMessage::ReportSoundRun { service, parts } => {
@@ -399,11 +403,12 @@
 
     fn publish_suspects(&self, inner: &Inner, is_changed: bool) {
         if is_changed {
+            let quarantined = inner.quarantine.quarantined();
             info!(
-                "suspects={} quarantined={}",
-                inner.quarantine.len(),
-                inner.quarantine.quarantined()
+                "suspects={} quarantined={quarantined}",
+                inner.quarantine.len()
             );
+            self.metrics.set_quarantined(quarantined);
             self.suspect_changes.send_modify(|changes| *changes += 1);
         }
     }
--- a/crates/mimosa-control/src/server.rs
+++ b/crates/mimosa-control/src/server.rs
@@ -97,6 +97,7 @@
     admin: SocketAddr,
     entry: SocketAddr,
     peer: SocketAddr,
+    metrics: Option<SocketAddr>,
 }
 
 impl ControlServer {
@@ -124,6 +125,7 @@
             admin: admin_address,
             entry: entry_address,
             peer: peer_address,
+            metrics: None,
         };
         Ok(BoundServer {
             store: Arc::new(FolderStore(settings.data_folder.clone())),
@@ -193,6 +195,7 @@
                 if let Some(address) = assembly.settings.metrics {
                     let registry = assembly.metrics.registry();
                     let server = MetricsServer::bind(address, registry).await?;
+                    self.addresses.metrics = Some(server.address());
                     assembly.tasks.spawn(server.run());
                 }
                 assembly.serve_gateways(&replicator, self.entry, integration)
@@ -384,6 +387,11 @@
         self.addresses.peer
     }
 
+    /// Bound address of the metrics server; `None` if the settings disable it.
+    pub const fn metrics(&self) -> Option<SocketAddr> {
+        self.addresses.metrics
+    }
+
     /// Applies changed settings without a restart. Seeds are only added.
     pub fn reload(&self, reloadable: &Reloadable) {
         if let Some(discovered_tx) = &self.discovered_tx {
--- a/crates/mimosa-control/tests/dispatch.rs
+++ b/crates/mimosa-control/tests/dispatch.rs
@@ -240,15 +240,17 @@
 }
 
 impl Gateway {
-    /// Reports that a request with this part was lost with an endpoint at the start of its answer.
-    async fn report_lost(&mut self, number: u64, part: &str) {
+    /// Reports that a request with this part was lost with an endpoint at the start of its answer,
+    /// this long ago.
+    async fn report_lost(&mut self, number: u64, part: &str, age: Duration) {
         let message = GatewayMessage::ReportLostRun {
             service: "verse".parse().unwrap(),
             process: CrashId {
                 endpoint: format!("d-{number}").parse().unwrap(),
                 incarnation: Incarnation(number),
             },
-            ran_for: Duration::from_millis(1),
+            ran_for: Duration::from_millis(100),
+            age,
             parts: parts(&number.to_string(), part),
         };
         self.send(message).await;
@@ -293,6 +295,26 @@
     quarantine.quarantined_until(now, &request).is_some()
 }
 
+/// Ages of crashes that happened one after the other; the gaps exceed any delay of their reports.
+fn age_of(number: u64) -> Duration {
+    Duration::from_secs(100 * (3 - number))
+}
+
+/// Guards against crashes that count once because a slow link delivers their reports together.
+#[googletest::test]
+#[tokio::test]
+async fn crashes_whose_reports_arrive_together_count_by_when_they_happened() {
+    let (control, _folder) = start().await;
+    let mut gateway = Gateway::connect(&control, "10.0.0.1").await;
+    for number in [3, 1, 2] {
+        gateway.report_lost(number, "bad", age_of(number)).await;
+    }
+    for number in 11..=12 {
+        gateway.report_sound(number, "sound").await;
+    }
+    expect_that!(rejects(&gateway.next_quarantine().await, "bad"), eq(true));
+}
+
 /// Each gateway sees a single crash, so that none could tell the cause alone.
 #[googletest::test]
 #[tokio::test]
@@ -303,10 +325,8 @@
         gateways.push(Gateway::connect(&control, &format!("10.0.0.{number}")).await);
     }
     for (gateway, number) in gateways.iter_mut().zip(1..) {
-        gateway.report_lost(number, "bad").await;
+        gateway.report_lost(number, "bad", age_of(number)).await;
         gateway.report_sound(number + 10, "sound").await;
-        // Crashes count one by one, each under a run that began after the one before.
-        tokio::time::sleep(Duration::from_millis(20)).await;
     }
     for gateway in &mut gateways {
         let suspects = gateway.next_quarantine().await;
@@ -326,9 +346,8 @@
     let (first, _folder) = start().await;
     let mut gateway = Gateway::connect(&first, "10.0.0.1").await;
     for number in 1..=3 {
-        gateway.report_lost(number, "bad").await;
+        gateway.report_lost(number, "bad", age_of(number)).await;
         gateway.report_sound(number + 10, "sound").await;
-        tokio::time::sleep(Duration::from_millis(20)).await;
     }
     let suspects = gateway.next_quarantine().await;
     let (successor, _folder) = start().await;
--- a/crates/mimosa-gateway/src/control_link.rs
+++ b/crates/mimosa-gateway/src/control_link.rs
@@ -201,9 +201,9 @@
     send(outbox, hello);
 }
 
-/// Sends the known suspects to a new leader, which starts without any.
+/// Sends the lost runs and the known suspects to a new leader, which starts without any.
 fn report_suspects(shared: &Shared) {
-    if let Some(report) = shared.suspects.report(shared.now()) {
+    for report in shared.suspects.reports(shared.now()) {
         shared.placement.send_to_leader(report);
     }
 }
--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -247,8 +247,14 @@
                 request.metadata.shared_parts_text()
             );
             if failure == upstream::CONNECTION_LOST {
-                let ran_for = shared.now().since(sent);
-                tracked.report_lost(&shared.placement, &decode.listed, ran_for);
+                let now = shared.now();
+                tracked.report_lost(
+                    now,
+                    &shared.suspects,
+                    &shared.placement,
+                    &decode.listed,
+                    now.since(sent),
+                );
             }
             let id = decode.listed.id.clone();
             run.end(match failure {
--- a/crates/mimosa-gateway/src/part_quarantine.rs
+++ b/crates/mimosa-gateway/src/part_quarantine.rs
@@ -1,6 +1,7 @@
 //! Rejection of requests whose prompts crash endpoints. The leader attributes the crashes that
 //! gateways report; gateways apply its result, also while no leader answers.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -30,14 +31,64 @@
 /// prompt.
 pub(crate) const SOUND_EVENTS: u64 = 8;
 
-/// The suspects known to this gateway.
+/// Time for which lost runs are reported to new leaders; longer than a change of the leader takes.
+const LOST_RUN_RETENTION: Duration = Duration::from_secs(30);
+/// Lost runs kept for new leaders; beyond it the oldest is dropped.
+const MAX_LOST_RUNS: usize = 64;
+
+/// The suspects known to this gateway, and its own recent lost runs.
 #[derive(Default)]
 pub(crate) struct KnownSuspects {
-    quarantine: Mutex<PartQuarantine>,
+    inner: Mutex<Inner>,
     /// Newest term of a leader that was sent the suspects.
     reported_term: AtomicU64,
 }
 
+#[derive(Default)]
+struct Inner {
+    quarantine: PartQuarantine,
+    /// Oldest first.
+    lost_runs: VecDeque<LostRun>,
+}
+
+/// A run that was lost with its endpoint at the start of its answer.
+struct LostRun {
+    at: Timestamp,
+    service: ServiceId,
+    process: CrashId,
+    ran_for: Duration,
+    parts: RequestParts,
+}
+
+impl LostRun {
+    fn to_report(&self, now: Timestamp) -> GatewayMessage {
+        GatewayMessage::ReportLostRun {
+            service: self.service.clone(),
+            process: self.process.clone(),
+            ran_for: self.ran_for,
+            age: now.since(self.at),
+            parts: self.parts.clone(),
+        }
+    }
+}
+
+impl Inner {
+    fn add_lost_run(&mut self, run: LostRun) {
+        if self.lost_runs.len() >= MAX_LOST_RUNS {
+            self.lost_runs.pop_front();
+        }
+        self.lost_runs.push_back(run);
+    }
+
+    /// A later leader must not blame the parts of a sound run for earlier crashes.
+    fn clear_lost_runs(&mut self, sound: &RequestParts) {
+        self.lost_runs.retain_mut(|run| {
+            run.parts.parts.retain(|part| !sound.parts.contains(part));
+            run.parts.whole != sound.whole
+        });
+    }
+}
+
 impl KnownSuspects {
     /// Checks that a request may run.
     ///
@@ -50,7 +101,7 @@
         request: &IdentifiedRequest,
         parts: &RequestParts,
     ) -> Result<(), Failure> {
-        let Some(until) = self.lock().quarantined_until(now, parts) else {
+        let Some(until) = self.lock().quarantine.quarantined_until(now, parts) else {
             return Ok(());
         };
         info!(
@@ -64,7 +115,7 @@
 
     /// Merges the suspects that a control instance sent.
     pub(crate) fn on_suspects(&self, now: Timestamp, suspects: &Suspects) {
-        let mut quarantine = self.lock();
+        let quarantine = &mut self.lock().quarantine;
         quarantine.expire(now);
         if quarantine.merge(now, suspects) {
             info!(
@@ -81,16 +132,26 @@
         self.reported_term.fetch_max(term, Ordering::Relaxed) < term
     }
 
-    /// The known suspects, for a new leader; `None` without any.
-    pub(crate) fn report(&self, now: Timestamp) -> Option<GatewayMessage> {
-        let suspects = self.lock().suspects(now);
-        (!suspects.suspects.is_empty()).then_some(GatewayMessage::ReportSuspects(suspects))
+    /// The recent lost runs and the known suspects, for a new leader.
+    pub(crate) fn reports(&self, now: Timestamp) -> Vec<GatewayMessage> {
+        let mut inner = self.lock();
+        inner
+            .lost_runs
+            .retain(|run| now.since(run.at) < LOST_RUN_RETENTION);
+        let mut reports: Vec<_> = inner
+            .lost_runs
+            .iter()
+            .map(|run| run.to_report(now))
+            .collect();
+        let suspects = inner.quarantine.suspects(now);
+        if !suspects.suspects.is_empty() {
+            reports.push(GatewayMessage::ReportSuspects(suspects));
+        }
+        reports
     }
 
-    fn lock(&self) -> MutexGuard<'_, PartQuarantine> {
-        self.quarantine
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -133,10 +194,11 @@
         placement: &PlacementClient,
     ) {
         self.is_sound = true;
-        let mut quarantine = known.lock();
-        if quarantine.is_suspect(&self.parts) {
-            quarantine.clear(now, &self.parts);
-            drop(quarantine);
+        let mut inner = known.lock();
+        inner.clear_lost_runs(&self.parts);
+        if inner.quarantine.is_suspect(&self.parts) {
+            inner.quarantine.clear(now, &self.parts);
+            drop(inner);
             self.report_sound(placement);
         }
     }
@@ -144,6 +206,8 @@
     /// Reports that the run was lost with its endpoint, `ran_for` after it was sent there.
     pub(crate) fn report_lost(
         &self,
+        now: Timestamp,
+        known: &KnownSuspects,
         placement: &PlacementClient,
         endpoint: &ListedEndpoint,
         ran_for: Duration,
@@ -155,12 +219,16 @@
             endpoint: endpoint.id.clone(),
             incarnation: Incarnation(endpoint.started_at_ms),
         };
-        placement.send_to_leader(GatewayMessage::ReportLostRun {
+        let run = LostRun {
+            at: now,
             service: self.service.clone(),
             process,
             ran_for,
             parts: RequestParts::clone(&self.parts),
-        });
+        };
+        let report = run.to_report(now);
+        known.lock().add_lost_run(run);
+        placement.send_to_leader(report);
     }
 
     fn report_sound(&self, placement: &PlacementClient) {
--- a/crates/mimosa-gateway/src/relay.rs
+++ b/crates/mimosa-gateway/src/relay.rs
@@ -326,8 +326,13 @@
                 "cut" => {
                     self.endpoint.health().record_unreachable(now);
                     if let Some(tracked) = &self.info.tracked {
-                        let ran_for = now.since(self.sent);
-                        tracked.report_lost(&self.shared.placement, &self.endpoint.listed, ran_for);
+                        tracked.report_lost(
+                            now,
+                            &self.shared.suspects,
+                            &self.shared.placement,
+                            &self.endpoint.listed,
+                            now.since(self.sent),
+                        );
                     }
                 }
                 _ => {}
--- a/crates/mimosa-route/src/message.rs
+++ b/crates/mimosa-route/src/message.rs
@@ -100,14 +100,16 @@
             /// Outcome of the run; [`RunEnd::Aborted`] if the request was only queued.
             end: RunEnd,
         },
-        /// A run was lost with its endpoint at the start of its answer.
+        /// A run was lost with its endpoint at the start of its answer. Sent again to a new leader.
         ReportLostRun {
             /// Service of the run.
             service: ServiceId,
             /// Process that ran it.
             process: CrashId,
-            /// Time since the request was sent to the endpoint.
+            /// Time from sending the request to the endpoint until the loss.
             ran_for: Duration,
+            /// Time since the loss; relative, because clocks differ.
+            age: Duration,
             /// Parts of the request, which may be the cause of a crash.
             parts: RequestParts,
         },
