Find out in entries whether a plain endpoint ended with its answer

An answer of a plain service with neither a length nor chunks ends with its connection; an endpoint that crashes between two events, or anywhere in an answer that is no event stream, closes it in order. Callers got the truncated answer as complete, and the ledger recorded it as the answer of an order.

An entry now connects to the endpoint once more before it takes such an end for the end of the answer, as gateways do. If the address refuses, the process has ended: the caller's answer breaks off, the ledger records the outcome as unknown, the endpoint counts as down. Draining endpoints are left out, as they may end after their last answer. Model answers need no such check: a stream needs its closing event and a document its end.

--- a/crates/mimosa-entry/src/attempt.rs
+++ b/crates/mimosa-entry/src/attempt.rs
@@ -8,6 +8,7 @@
 use mimosa_protocol::Refusal;
 use mimosa_protocol::RefusalReason;
 use mimosa_protocol::Tokens;
+use mimosa_protocol::configuration::EndpointState;
 use mimosa_schedule::AttemptEnd;
 use mimosa_schedule::Event;
 use mimosa_schedule::Grant;
@@ -253,6 +254,22 @@
         self.shared.quarantine.record_end(request_id);
     }
 
+    /// Finds out whether the endpoint's process has ended, so that an answer that ended with its
+    /// connection may have broken off; reports the endpoint as down if so. A draining endpoint may
+    /// end after its last answer.
+    pub(crate) async fn has_endpoint_ended(&self) -> bool {
+        let endpoint = self.queue.endpoint(&self.grant.decode);
+        let Some(endpoint) = endpoint.filter(|each| each.state == EndpointState::Active) else {
+            return false;
+        };
+        let client = &self.shared.engine_client;
+        let has_ended = client.refuses_connections(endpoint.address).await;
+        if has_ended {
+            self.record_failure(EngineFailure::DISCONNECTED, &endpoint.id);
+        }
+        has_ended
+    }
+
     /// Returns the address of an endpoint and records that the attempt may hold memory there.
     fn resolve_and_record_contact(
         &mut self,
--- a/crates/mimosa-entry/src/engine.rs
+++ b/crates/mimosa-entry/src/engine.rs
@@ -56,6 +56,8 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Body,
+    /// Whether the body has neither a length nor chunks and ends with its connection.
+    pub(crate) ends_with_connection: bool,
 }
 
 /// Why an endpoint gave no usable response.
@@ -166,6 +168,9 @@
         request: PlainRequest,
     ) -> BoxFuture<'_, Result<EngineResponse, EngineFailure>>;
 
+    /// Whether no process listens at an address.
+    fn refuses_connections(&self, to: SocketAddr) -> BoxFuture<'_, bool>;
+
     /// Cancels an attempt and frees its memory. Returns whether the endpoint confirmed it.
     fn cancel(&self, to: SocketAddr, attempt: AttemptId) -> BoxFuture<'_, bool>;
 
--- a/crates/mimosa-entry/src/engine/http.rs
+++ b/crates/mimosa-entry/src/engine/http.rs
@@ -1,5 +1,6 @@
 //! HTTP client of engines and plain services.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
 use axum::http::StatusCode;
 use axum::http::header::CONTENT_TYPE;
 use axum::http::header::HOST;
+use axum::http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
@@ -24,6 +26,7 @@
 use mimosa_protocol::Tokens;
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::net::TcpStream;
 
 use super::AttemptId;
 use super::BoxFuture;
@@ -187,6 +190,8 @@
     let content_type = parts.headers.get(CONTENT_TYPE);
     let is_event_stream =
         content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"));
+    let ends_with_connection = !parts.headers.contains_key(TRANSFER_ENCODING)
+        && hyper::body::Body::size_hint(&body).exact().is_none();
     let body = match is_event_stream && parts.status.is_success() {
         true => Body::new(EventStreamBody::new(body)),
         false => Body::new(body),
@@ -195,6 +200,7 @@
         status: parts.status,
         headers: parts.headers,
         body,
+        ends_with_connection,
     }
 }
 
@@ -265,6 +271,13 @@
         })
     }
 
+    fn refuses_connections(&self, to: SocketAddr) -> BoxFuture<'_, bool> {
+        Box::pin(async move {
+            let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await;
+            matches!(connected, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused)
+        })
+    }
+
     fn cancel(&self, to: SocketAddr, attempt: AttemptId) -> BoxFuture<'_, bool> {
         Box::pin(async move {
             let cancel = CancelRequest {
--- a/crates/mimosa-entry/src/plain.rs
+++ b/crates/mimosa-entry/src/plain.rs
@@ -210,10 +210,14 @@
         let body = Limited::new(engine_response.body, MAX_RECORDED_BYTES)
             .collect()
             .await;
-        let Ok(body) = body else {
-            intent.end(LedgerEnd::Unknown);
-            attempt.end(AttemptEnd::Failed);
-            return Err(Refusal::unknown(RefusalReason::EndpointFailed));
+        let is_cut = engine_response.ends_with_connection && attempt.has_endpoint_ended().await;
+        let body = match body {
+            Ok(body) if !is_cut => body,
+            _ => {
+                intent.end(LedgerEnd::Unknown);
+                attempt.end(AttemptEnd::Failed);
+                return Err(Refusal::unknown(RefusalReason::EndpointFailed));
+            }
         };
         attempt.end(AttemptEnd::Complete);
         let content_type = engine_response.headers.get(CONTENT_TYPE);
@@ -332,6 +336,11 @@
     }
 }
 
+/// Why an answer that ended with its connection counts as broken off.
+#[derive(Debug, thiserror::Error)]
+#[error("the endpoint's process ended with its answer")]
+struct EndpointEnded;
+
 /// A recorded intent whose end is not recorded yet. If it is dropped first, as when the caller
 /// disconnects, the end is recorded as unknown.
 struct LedgerIntent<'a> {
@@ -389,17 +398,22 @@
         status,
         mut headers,
         body,
+        ends_with_connection,
     } = engine_response;
     strip_hop_by_hop_headers(&mut headers);
     let start = (body, Some(attempt));
-    let chunks = futures_util::stream::unfold(start, |(mut body, mut attempt)| async move {
+    let chunks = futures_util::stream::unfold(start, move |(mut body, mut attempt)| async move {
         match body.frame().await {
             Some(Ok(frame)) => Some((Ok(frame), (body, attempt))),
             Some(Err(e)) => Some((Err(e), (Body::empty(), attempt.take()))),
             None => {
-                if let Some(attempt) = attempt.take() {
-                    attempt.end(AttemptEnd::Complete);
+                let attempt = attempt.take()?;
+                if ends_with_connection && attempt.has_endpoint_ended().await {
+                    attempt.end(AttemptEnd::Failed);
+                    let e = axum::Error::new(EndpointEnded);
+                    return Some((Err(e), (Body::empty(), None)));
                 }
+                attempt.end(AttemptEnd::Complete);
                 None
             }
         }
--- a/crates/mimosa-entry/tests/callers/http.rs
+++ b/crates/mimosa-entry/tests/callers/http.rs
@@ -119,7 +119,8 @@
     )
 }
 
-async fn read_all(mut body: Incoming) -> (String, bool) {
+/// Collects a body, up to an error if there is one. Returns it, and whether it ended without one.
+pub async fn read_all(mut body: Incoming) -> (String, bool) {
     let mut text = Vec::new();
     loop {
         match body.frame().await {
--- a/crates/mimosa-entry/tests/callers/truncation.rs
+++ b/crates/mimosa-entry/tests/callers/truncation.rs
@@ -2,10 +2,12 @@
 
 use googletest::prelude::*;
 use mimosa_protocol::configuration::EndpointRole;
+use mimosa_protocol::configuration::EndpointState;
 
 use crate::fixture::Fixture;
 use crate::fixture::Setup;
 use crate::http::Call;
+use crate::http::read_all;
 use crate::raw::RawEndpoint;
 
 const EVENT_STREAM: &str = "text/event-stream";
@@ -99,3 +101,44 @@
         expect_that!(answer.complete, eq(true), "{content_type}");
     }
 }
+
+#[googletest::test]
+#[tokio::test]
+async fn an_unframed_plain_answer_whose_endpoint_ends_between_events_is_not_delivered_as_complete()
+{
+    for content_type in [EVENT_STREAM, "text/plain"] {
+        let raw = RawEndpoint::unframed_ending(content_type, "data: 1\n\n").await;
+        raw.end();
+        let fixture = fixture_with(&raw, EndpointRole::Plain).await;
+        let answer = fixture.call(Call::get("/services/orders/watch")).await;
+        expect_that!(answer.complete, eq(false), "{content_type}");
+    }
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn an_unframed_plain_answer_whose_endpoint_ends_is_not_recorded_as_answered() {
+    let raw = RawEndpoint::unframed_ending("text/plain", "char").await;
+    raw.end();
+    let fixture = fixture_with(&raw, EndpointRole::Plain).await;
+    let call = Call::post("/services/orders/charge", "12").header("idempotency-key", "k-1");
+    let answer = fixture.call(call).await;
+    expect_that!(answer.status, eq(502), "{}", answer.body);
+    expect_that!(answer.body, contains_substring(r#""ran":"unknown""#));
+}
+
+/// Endpoints that were told to stop may end right after their last answer.
+#[googletest::test]
+#[tokio::test]
+async fn an_unframed_plain_answer_of_a_draining_endpoint_that_ends_is_delivered() {
+    let raw = RawEndpoint::unframed_ending("text/plain", "three left").await;
+    let fixture = fixture_with(&raw, EndpointRole::Plain).await;
+    let call = Call::get("/services/orders/watch");
+    let response = call.open(fixture.entry.address()).await;
+    raw.put(&fixture, EndpointRole::Plain, EndpointState::Draining)
+        .await;
+    raw.end();
+    let (body, complete) = read_all(response.into_body()).await;
+    expect_that!(body, eq("three left"));
+    expect_that!(complete, eq(true));
+}
