Reset the connection of an HTTP/1.0 caller of an entry whose answer breaks off

Responses to HTTP/1.0 requests have no chunks, so their end is that of the connection. When the stream of a plain service broke off, the entry closed the caller's connection in order, and the truncated answer looked complete.

Gateways reset such connections already. Stream and body that do it move from the gateway into mimosa_transport::break_off, and both data planes use them. The new test failed before on the broken stream (orderly end) and passed on the whole one; the gateway's test of the same passes unchanged.

--- a/crates/mimosa-entry/src/server.rs
+++ b/crates/mimosa-entry/src/server.rs
@@ -8,7 +8,11 @@
 use std::time::Duration;
 
 use axum::Router;
+use hyper::Request;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
+use hyper::service::Service;
+use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::GracefulShutdown;
@@ -22,6 +26,9 @@
 use mimosa_protocol::Incarnation;
 use mimosa_protocol::Result;
 use mimosa_transport::accept;
+use mimosa_transport::break_off::ResetFlag;
+use mimosa_transport::break_off::ResetOnError;
+use mimosa_transport::break_off::ResettableStream;
 use mimosa_transport::clock::Clock;
 use mimosa_transport::datagram::ClusterTag;
 use mimosa_transport::datagram::Socket;
@@ -292,12 +299,24 @@
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!("cannot set TCP_NODELAY on the connection from a caller: {e}");
     }
+    let reset = ResetFlag::default();
+    let stream = ResettableStream::new(stream, reset.clone());
+    let router = TowerToHyperService::new(router);
+    let service = service_fn(move |req: Request<Incoming>| {
+        let version = req.version();
+        let response = router.call(req);
+        let reset = reset.clone();
+        async move {
+            let response = response.await;
+            response.map(|response| response.map(|body| ResetOnError::new(version, body, reset)))
+        }
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_time)
         .max_buf_size(usize::try_from(limits.head.0).unwrap_or(usize::MAX))
         .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(router));
+        .serve_connection(TokioIo::new(stream), service);
     let connection = graceful.watch(connection);
     async move {
         if let Err(e) = connection.await {
--- a/crates/mimosa-entry/tests/callers/truncation.rs
+++ b/crates/mimosa-entry/tests/callers/truncation.rs
@@ -3,8 +3,12 @@
 use googletest::prelude::*;
 use mimosa_protocol::configuration::EndpointRole;
 use mimosa_protocol::configuration::EndpointState;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 use crate::fixture::Fixture;
+use crate::fixture::KEY;
 use crate::fixture::Setup;
 use crate::http::Call;
 use crate::http::read_all;
@@ -142,3 +146,23 @@
     expect_that!(body, eq("three left"));
     expect_that!(complete, eq(true));
 }
+
+/// Responses to HTTP/1.0 requests have no chunks, so an orderly close would mark them as complete.
+#[googletest::test]
+#[tokio::test]
+async fn a_broken_plain_answer_to_an_http_1_0_caller_ends_with_a_reset() {
+    for (body, is_whole) in [("data: 1\n\ndata: ha", false), ("data: 1\n\n", true)] {
+        let raw = RawEndpoint::unframed(EVENT_STREAM, body).await;
+        let fixture = fixture_with(&raw, EndpointRole::Plain).await;
+        let request = format!(
+            "GET /services/orders/watch HTTP/1.0\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\r\n"
+        );
+        let mut stream = TcpStream::connect(fixture.entry.address()).await.unwrap();
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut answer = Vec::new();
+        let read = stream.read_to_end(&mut answer).await;
+        let answer = String::from_utf8_lossy(&answer);
+        expect_that!(read.is_ok(), eq(is_whole), "{answer}");
+        expect_that!(answer.ends_with("data: 1\n\n"), eq(is_whole), "{answer}");
+    }
+}
--- a/crates/mimosa-gateway/src/client_connection.rs
+++ b/crates/mimosa-gateway/src/client_connection.rs
@@ -9,19 +9,18 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Version;
-use hyper::body::Body as _;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 use mimosa_route::ClientLimits;
-use mimosa_transport::socket;
+use mimosa_transport::break_off::ResetFlag;
+use mimosa_transport::break_off::ResetOnError;
+use mimosa_transport::break_off::ResettableStream;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -48,8 +47,7 @@
 pub(crate) struct ActivityTracker {
     phase: Mutex<Phase>,
     changed: Notify,
-    /// Whether a response failed whose end only the end of the connection marks.
-    has_truncated_response: AtomicBool,
+    reset: ResetFlag,
 }
 
 /// Which timeout of a connection expired.
@@ -66,7 +64,7 @@
         Arc::new(Self {
             phase: Mutex::new(Phase::Idle(Instant::now())),
             changed: Notify::new(),
-            has_truncated_response: AtomicBool::new(false),
+            reset: ResetFlag::default(),
         })
     }
 
@@ -75,14 +73,19 @@
         self.set(Phase::Busy);
     }
 
+    /// Wraps the stream of the connection, which reports received bytes here.
+    pub(crate) fn track(self: &Arc<Self>, stream: TcpStream) -> TrackedStream {
+        TrackedStream {
+            stream: ResettableStream::new(stream, self.reset.clone()),
+            tracker: Arc::clone(self),
+        }
+    }
+
     /// Marks the connection as idle once the response body was sent completely or dropped. `version`
-    /// is that of the request; before HTTP/1.1 there are no chunks.
+    /// is that of the request.
     pub(crate) fn idle_after(self: &Arc<Self>, version: Version, body: Body) -> Body {
         let body = TrackedBody {
-            may_end_with_connection: version < Version::HTTP_11
-                && body.size_hint().exact().is_none(),
-            body,
-            failed: None,
+            body: ResetOnError::new(version, body, self.reset.clone()),
             tracker: Arc::clone(self),
         };
         body.boxed_unsync()
@@ -125,12 +128,9 @@
     }
 }
 
-/// Response body that marks its connection as idle when dropped. It reports a failure one poll
-/// later: hyper discards the bytes that it has not written when a body fails.
+/// Response body that marks its connection as idle when dropped.
 struct TrackedBody {
-    body: Body,
-    may_end_with_connection: bool,
-    failed: Option<BodyError>,
+    body: ResetOnError<Body>,
     tracker: Arc<ActivityTracker>,
 }
 
@@ -142,27 +142,11 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if let Some(e) = self.failed.take() {
-            return Poll::Ready(Some(Err(e)));
-        }
-        match Pin::new(&mut self.body).poll_frame(cx) {
-            Poll::Ready(Some(Err(e))) => {
-                if self.may_end_with_connection {
-                    let tracker = &self.tracker;
-                    tracker
-                        .has_truncated_response
-                        .store(true, Ordering::Relaxed);
-                }
-                self.failed = Some(e);
-                cx.waker().wake_by_ref();
-                Poll::Pending
-            }
-            polled => polled,
-        }
+        Pin::new(&mut self.body).poll_frame(cx)
     }
 
     fn is_end_stream(&self) -> bool {
-        self.failed.is_none() && self.body.is_end_stream()
+        self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -178,17 +162,8 @@
 
 /// Socket that reports received bytes to the connection's activity tracker.
 pub(crate) struct TrackedStream {
-    pub(crate) stream: TcpStream,
-    pub(crate) tracker: Arc<ActivityTracker>,
-}
-
-impl Drop for TrackedStream {
-    fn drop(&mut self) {
-        // An orderly close would make the response look complete.
-        if self.tracker.has_truncated_response.load(Ordering::Relaxed) {
-            socket::reset_on_close(&self.stream);
-        }
-    }
+    stream: ResettableStream,
+    tracker: Arc<ActivityTracker>,
 }
 
 impl AsyncRead for TrackedStream {
--- a/crates/mimosa-gateway/src/server.rs
+++ b/crates/mimosa-gateway/src/server.rs
@@ -31,7 +31,6 @@
 use tokio::time::timeout;
 
 use crate::client_connection::ActivityTracker;
-use crate::client_connection::TrackedStream;
 use crate::control_link;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
@@ -230,10 +229,7 @@
     let shared = Arc::clone(shared);
     let tracker = ActivityTracker::new();
     let service_tracker = Arc::clone(&tracker);
-    let stream = TrackedStream {
-        stream,
-        tracker: Arc::clone(&tracker),
-    };
+    let stream = tracker.track(stream);
     let service = service_fn(move |request: Request<Incoming>| {
         let shared = Arc::clone(&shared);
         let version = request.version();
--- a/crates/mimosa-transport/src/lib.rs
+++ b/crates/mimosa-transport/src/lib.rs
@@ -4,11 +4,13 @@
 //! * [`datagram`] sends and receives messages as UDP packets.
 //! * [`accept`] accepts TCP connections and runs each as a task.
 //! * [`link`] maintains a TCP connection to a peer and reconnects with [`backoff`].
+//! * [`break_off`] lets clients recognise HTTP responses that break off.
 //! * [`socket`] sets the options of TCP connections.
 //! * [`clock`] provides the current time.
 
 pub mod accept;
 pub mod backoff;
+pub mod break_off;
 pub mod clock;
 pub mod datagram;
 pub mod frame;
