Let a sound part run again although one of its crashes had another cause

Causes: - A suspect counted as explained only if the bad part was in all of its crashes. One crash of another cause, as of a lost data centre, was enough that requests with the sound part were rejected, and so never cleared it. - The bad part explained nothing whose runs had begun later than half of its own time before the crashes, as sound runs do by chance. - The first crash of a part is not published, so its sound runs were not reported, and crashes many seconds apart counted together.

A suspect now stays quarantined only by two crashes that no other explains; of two suspects, the one with more crashes beside the common ones explains these; and gateways remember the last sound run of each recent part and report it when the part becomes a suspect. A clearing ends a quarantine if the crashes that remain are too few for it, where before any later crash kept it.

--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -292,6 +292,7 @@
             }
             GatewayMessage::ReportLostRun { .. }
             | GatewayMessage::ReportSoundRun { .. }
+            | GatewayMessage::ReportSoundParts(_)
             | GatewayMessage::ReportSuspects(_)
                 if !inner.leads => {}
             GatewayMessage::ReportLostRun {
@@ -318,6 +319,12 @@
                 let changed = inner.quarantine.count_sound_run(&service);
                 self.publish_suspects(&inner, cleared || changed);
             }
+            GatewayMessage::ReportSoundParts(parts) => {
+                let parts = parts.into_iter();
+                let parts = parts.map(|(part, age)| (part, now.minus(age)));
+                let changed = inner.quarantine.clear_suspects(parts);
+                self.publish_suspects(&inner, changed);
+            }
             GatewayMessage::ReportSuspects(suspects) => {
                 let changed = inner.quarantine.merge(now, &suspects);
                 self.publish_suspects(&inner, changed);
--- a/crates/mimosa-gateway/src/control_link.rs
+++ b/crates/mimosa-gateway/src/control_link.rs
@@ -188,7 +188,11 @@
             retry_after,
         } => shared.placement.on_rejected(number, reason, retry_after),
         ControlMessage::NotLeader { number } => shared.placement.on_not_leader(number),
-        ControlMessage::Suspects(suspects) => shared.suspects.on_suspects(shared.now(), &suspects),
+        ControlMessage::Suspects(suspects) => {
+            if let Some(report) = shared.suspects.on_suspects(shared.now(), &suspects) {
+                shared.placement.send_to_leader(report);
+            }
+        }
     }
 }
 
--- a/crates/mimosa-gateway/src/part_quarantine.rs
+++ b/crates/mimosa-gateway/src/part_quarantine.rs
@@ -13,6 +13,7 @@
 use hyper::Uri;
 use log::info;
 use mimosa_hold::part_quarantine::PartQuarantine;
+use mimosa_hold::part_quarantine::RecentSoundRuns;
 use mimosa_hold::part_quarantine::RequestParts;
 use mimosa_hold::part_quarantine::Suspects;
 use mimosa_hold::quarantine::CrashId;
@@ -47,6 +48,7 @@
 #[derive(Default)]
 struct Inner {
     quarantine: PartQuarantine,
+    sound_runs: RecentSoundRuns,
     /// Oldest first.
     lost_runs: VecDeque<LostRun>,
 }
@@ -113,17 +115,34 @@
         Err(Failure::Quarantined(until.since(now)))
     }
 
-    /// Merges the suspects that a control instance sent.
-    pub(crate) fn on_suspects(&self, now: Timestamp, suspects: &Suspects) {
-        let quarantine = &mut self.lock().quarantine;
+    /// Merges the suspects that a control instance sent. Returns the report of those that were sound
+    /// after crashes; `None` without any.
+    pub(crate) fn on_suspects(
+        &self,
+        now: Timestamp,
+        suspects: &Suspects,
+    ) -> Option<GatewayMessage> {
+        let Inner {
+            quarantine,
+            sound_runs,
+            ..
+        } = &mut *self.lock();
         quarantine.expire(now);
-        if quarantine.merge(now, suspects) {
+        let is_changed = quarantine.merge(now, suspects);
+        let sound = quarantine.clear_remembered(sound_runs);
+        if is_changed {
             info!(
-                "suspects={} quarantined={}",
+                "suspects={} quarantined={} sound={}",
                 quarantine.len(),
-                quarantine.quarantined()
+                quarantine.quarantined(),
+                sound.len()
             );
         }
+        let sound: Vec<_> = sound
+            .into_iter()
+            .map(|(part, at)| (part, now.since(at)))
+            .collect();
+        (!sound.is_empty()).then_some(GatewayMessage::ReportSoundParts(sound))
     }
 
     /// Whether a leader of this term has not been sent the suspects yet. A leader forgets them when
@@ -195,6 +214,7 @@
     ) {
         self.is_sound = true;
         let mut inner = known.lock();
+        inner.sound_runs.record(now, &self.parts);
         inner.clear_lost_runs(&self.parts);
         if inner.quarantine.is_suspect(&self.parts) {
             inner.quarantine.clear(now, &self.parts);
--- a/crates/mimosa-hold/src/part_quarantine.rs
+++ b/crates/mimosa-hold/src/part_quarantine.rs
@@ -19,6 +19,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::time::Duration;
 
 use mimosa_protocol::ServiceId;
@@ -39,6 +40,9 @@
 pub struct PartQuarantineSettings {
     /// Crashes, and for parts also different requests, after which a suspect is quarantined.
     pub crashes: usize,
+    /// Crashes from which a suspect stays quarantined although another one explains its other
+    /// crashes: one may have had a cause of its own, such as the loss of a data centre.
+    pub unexplained_crashes: usize,
     /// Sound runs of the service since the first crash that a quarantine requires.
     pub sound_runs: u64,
     /// How long a crash counts, and how long a quarantine lasts after the last crash.
@@ -60,6 +64,7 @@
     fn default() -> Self {
         Self {
             crashes: 3,
+            unexplained_crashes: 2,
             sound_runs: 2,
             retention: Duration::from_secs(1_800),
             sent_crashes: 2,
@@ -151,28 +156,19 @@
         self.crashes.values().map(|crash| crash.at).max()
     }
 
-    /// The crashes whose runs began after the previous one that counts, oldest first.
-    fn counted(&self) -> impl Iterator<Item = &Crash> {
-        let mut crashes: Vec<_> = self.crashes.values().collect();
-        crashes.sort_by_key(|crash| crash.at);
-        let mut last = None;
-        crashes.into_iter().filter(move |crash| {
-            let counts = last.is_none_or(|last| crash.at.minus(crash.ran_for) > last);
-            if counts {
-                last = Some(crash.at);
-            }
-            counts
-        })
+    /// When the quarantine ends; `None` without one.
+    fn quarantined_until(&self, settings: &PartQuarantineSettings) -> Option<Timestamp> {
+        let last = self.last_crash().filter(|_| self.is_quarantined)?;
+        Some(last + settings.retention)
+    }
+
+    fn is_quarantined_at(&self, now: Timestamp, settings: &PartQuarantineSettings) -> bool {
+        let until = self.quarantined_until(settings);
+        until.is_some_and(|until| now < until)
     }
 
-    /// Number of crashes that count: of different requests for a part, of any for a whole request.
     fn count(&self, fingerprint: Fingerprint) -> usize {
-        let (own, other): (Vec<_>, Vec<_>) = self
-            .counted()
-            .map(|crash| crash.request)
-            .partition(|request| *request == fingerprint);
-        let different: BTreeSet<_> = other.into_iter().collect();
-        own.len().max(different.len())
+        count_crashes(fingerprint, self.crashes.values())
     }
 
     /// Whether other instances must know the crashes.
@@ -180,7 +176,13 @@
         self.is_quarantined || self.count(fingerprint) >= settings.sent_crashes
     }
 
-    fn clear(&mut self, at: Timestamp) -> bool {
+    /// Forgets the crashes up to a sound run. Those that remain may be too few for a quarantine.
+    fn clear(
+        &mut self,
+        at: Timestamp,
+        fingerprint: Fingerprint,
+        settings: &PartQuarantineSettings,
+    ) -> bool {
         let is_new = self
             .cleared
             .is_none_or(|cleared| at > cleared + CLEARING_TOLERANCE);
@@ -189,7 +191,7 @@
         let is_changed = self.crashes.len() != before || is_new;
         if is_changed {
             self.cleared = self.cleared.max(Some(at));
-            self.is_quarantined &= !self.crashes.is_empty();
+            self.is_quarantined &= self.count(fingerprint) >= settings.crashes;
         }
         is_changed
     }
@@ -214,19 +216,27 @@
         true
     }
 
-    /// Whether this suspect may be the cause of all crashes of another one: it crashed the same
-    /// processes, with runs that had begun as shortly before.
-    fn explains(&self, other: &Self) -> bool {
-        let mut own_time = Duration::ZERO;
-        let mut other_time = Duration::ZERO;
-        for (id, crash) in &other.crashes {
-            let Some(own) = self.crashes.get(id) else {
-                return false;
-            };
-            own_time += own.ran_for;
-            other_time += crash.ran_for;
-        }
-        self.service == other.service && own_time <= other_time * MAX_AGE_RATIO
+    /// Whether this suspect may be the cause of the crashes that it has in common with another one: it
+    /// has more crashes beside them than the other one, or its runs there had begun as shortly before.
+    fn explains_common_crashes(&self, other: &Self) -> bool {
+        let common = other.crashes.iter().filter_map(|(id, crash)| {
+            let own = self.crashes.get(id)?;
+            Some((own.ran_for, crash.ran_for))
+        });
+        let (own_time, other_time) = common.fold(
+            (Duration::ZERO, Duration::ZERO),
+            |(own_time, other_time), (own, other)| (own_time + own, other_time + other),
+        );
+        self.service == other.service
+            && (own_time <= other_time * MAX_AGE_RATIO
+                || self.separate_from(other) > other.separate_from(self))
+    }
+
+    /// Number of separate crashes that the other suspect has no part in.
+    fn separate_from(&self, other: &Self) -> usize {
+        let crashes = self.crashes.iter();
+        let own = crashes.filter(|(id, _)| !other.crashes.contains_key(id));
+        separate(own.map(|(_, crash)| crash)).count()
     }
 
     fn expire(&mut self, now: Timestamp, settings: &PartQuarantineSettings) {
@@ -260,6 +270,30 @@
     }
 }
 
+/// The crashes of runs that began after the previous one of these, oldest first; the others may have
+/// a common cause.
+fn separate<'a>(crashes: impl Iterator<Item = &'a Crash>) -> impl Iterator<Item = &'a Crash> {
+    let mut crashes: Vec<_> = crashes.collect();
+    crashes.sort_by_key(|crash| crash.at);
+    let mut last = None;
+    crashes.into_iter().filter(move |crash| {
+        let is_separate = last.is_none_or(|last| crash.at.minus(crash.ran_for) > last);
+        if is_separate {
+            last = Some(crash.at);
+        }
+        is_separate
+    })
+}
+
+/// Number of separate crashes of a suspect: of different requests for a part, of any for a whole
+/// request.
+fn count_crashes<'a>(suspect: Fingerprint, crashes: impl Iterator<Item = &'a Crash>) -> usize {
+    let requests = separate(crashes).map(|crash| crash.request);
+    let (own, other): (Vec<_>, Vec<_>) = requests.partition(|request| *request == suspect);
+    let different: BTreeSet<_> = other.into_iter().collect();
+    own.len().max(different.len())
+}
+
 /// The suspects known to one instance.
 #[derive(Clone, Debug, Default)]
 pub struct PartQuarantine {
@@ -285,26 +319,36 @@
         }
         let quarantined = request.fingerprints().filter_map(|fingerprint| {
             let record = self.records.get(&fingerprint)?;
-            let until = record.last_crash()? + self.settings.retention;
+            let until = record.quarantined_until(&self.settings)?;
             let is_rejected =
-                record.is_quarantined && now < until && !self.is_explained(now, record, request);
+                now < until && !self.is_explained(now, (fingerprint, record), request);
             is_rejected.then_some(until)
         });
         quarantined.max()
     }
 
-    /// Whether a quarantined suspect that a request does not contain explains all crashes of one
-    /// that it contains.
-    fn is_explained(&self, now: Timestamp, record: &Record, request: &RequestParts) -> bool {
+    /// Whether quarantined suspects that a request does not contain explain the crashes of one that
+    /// it contains, but for fewer than [`PartQuarantineSettings::unexplained_crashes`].
+    fn is_explained(
+        &self,
+        now: Timestamp,
+        (fingerprint, record): (Fingerprint, &Record),
+        request: &RequestParts,
+    ) -> bool {
         let contained: BTreeSet<_> = request.fingerprints().collect();
-        let mut others = self.records.iter().filter(|(fingerprint, other)| {
-            other.is_quarantined && !contained.contains(fingerprint)
-        });
-        let is_recent = |other: &Record| {
-            let until = other.last_crash().map(|at| at + self.settings.retention);
-            until.is_some_and(|until| now < until)
-        };
-        others.any(|(_, other)| is_recent(other) && other.explains(record))
+        let others = self
+            .records
+            .iter()
+            .filter(|(other, _)| !contained.contains(other));
+        let quarantined = others.filter(|(_, other)| other.is_quarantined_at(now, &self.settings));
+        let mut unexplained = record.crashes.clone();
+        for (_, other) in quarantined {
+            if other.explains_common_crashes(record) {
+                unexplained.retain(|id, _| !other.crashes.contains_key(id));
+            }
+        }
+        unexplained.len() < record.crashes.len()
+            && count_crashes(fingerprint, unexplained.values()) < self.settings.unexplained_crashes
     }
 
     /// Whether a sound run with these parts clears a suspect, and so must be reported.
@@ -362,7 +406,7 @@
             }
             // Other instances only have to forget what they were sent.
             if record.is_relevant(fingerprint, &self.settings) {
-                is_changed |= record.clear(now);
+                is_changed |= record.clear(now, fingerprint, &self.settings);
             } else {
                 self.records.remove(&fingerprint);
             }
@@ -370,6 +414,37 @@
         is_changed
     }
 
+    /// Clears suspects of which another instance saw a sound run at a time of the past. Returns
+    /// whether [`Self::suspects`] changed.
+    pub fn clear_suspects(
+        &mut self,
+        sound: impl IntoIterator<Item = (Fingerprint, Timestamp)>,
+    ) -> bool {
+        let mut is_changed = false;
+        for (fingerprint, at) in sound {
+            if let Some(record) = self.records.get_mut(&fingerprint) {
+                is_changed |= record.clear(at, fingerprint, &self.settings);
+            }
+        }
+        is_changed
+    }
+
+    /// Clears suspects whose last sound run is known here, and returns these with its time. Other
+    /// instances must know them as well.
+    pub fn clear_remembered(&mut self, sound: &RecentSoundRuns) -> Vec<(Fingerprint, Timestamp)> {
+        let mut cleared = Vec::new();
+        for (fingerprint, record) in &mut self.records {
+            let Some(at) = sound.last(*fingerprint) else {
+                continue;
+            };
+            if record.crashes.values().any(|crash| crash.at <= at) {
+                record.clear(at, *fingerprint, &self.settings);
+                cleared.push((*fingerprint, at));
+            }
+        }
+        cleared
+    }
+
     /// Counts a sound run of a service, with or without suspects. Returns whether [`Self::suspects`]
     /// changed.
     pub fn count_sound_run(&mut self, service: &ServiceId) -> bool {
@@ -411,7 +486,7 @@
                 Record::new(suspect.service.clone(), sound_runs.unwrap_or_default())
             });
             if let Some(age) = suspect.cleared_for {
-                is_changed |= record.clear(now.minus(age));
+                is_changed |= record.clear(now.minus(age), *fingerprint, &self.settings);
             }
             for crash in &suspect.crashes {
                 let known = Crash {
@@ -494,3 +569,32 @@
         }
     }
 }
+
+/// When runs with each prompt part were last sound, for the most recent parts. Tells whether a
+/// suspect that was unknown until now was sound after its first crashes.
+#[derive(Clone, Debug, Default)]
+pub struct RecentSoundRuns {
+    newer: HashMap<Fingerprint, Timestamp>,
+    older: HashMap<Fingerprint, Timestamp>,
+}
+
+impl RecentSoundRuns {
+    /// Parts in each of the two halves, of which the older one is dropped when the
+    /// newer one is full.
+    const HALF_CAPACITY: usize = 1_024;
+
+    /// Records a sound run with these parts.
+    pub fn record(&mut self, now: Timestamp, request: &RequestParts) {
+        for part in &request.parts {
+            self.newer.insert(*part, now);
+        }
+        if self.newer.len() >= Self::HALF_CAPACITY {
+            self.older = std::mem::take(&mut self.newer);
+        }
+    }
+
+    fn last(&self, part: Fingerprint) -> Option<Timestamp> {
+        let last = self.newer.get(&part).or_else(|| self.older.get(&part));
+        last.copied()
+    }
+}
--- a/crates/mimosa-route/src/message.rs
+++ b/crates/mimosa-route/src/message.rs
@@ -6,6 +6,7 @@
 use mimosa_hold::part_quarantine::RequestParts;
 use mimosa_hold::part_quarantine::Suspects;
 use mimosa_hold::quarantine::CrashId;
+use mimosa_hold::quarantine::Fingerprint;
 use mimosa_protocol::AccountId;
 use mimosa_protocol::DataCentreId;
 use mimosa_protocol::InstanceId;
@@ -121,6 +122,9 @@
             /// Parts of the request.
             parts: RequestParts,
         },
+        /// Parts of requests that became suspects after the gateway saw a sound run with them, and the
+        /// time since it.
+        ReportSoundParts(Vec<(Fingerprint, Duration)>),
         /// The suspects that the gateway knows; sent to a new leader.
         ReportSuspects(Suspects),
     }
