Look only at suspects with enough crashes when a run is sound

The leader looked at every suspect at each completed run. After the loss of many endpoints that is up to 4,096 of them for half an hour, at each of 24,000 requests a second of the target size. Those with enough crashes are now kept apart.

A suspect that another instance reports after it was cleared here also waits for sound runs of the service since that report, as one that is recorded here.

--- a/crates/mimosa-hold/src/part_quarantine.rs
+++ b/crates/mimosa-hold/src/part_quarantine.rs
@@ -299,6 +299,8 @@
 pub struct PartQuarantine {
     settings: PartQuarantineSettings,
     records: BTreeMap<Fingerprint, Record>,
+    /// The suspects with enough crashes that are not quarantined; few, unlike the records.
+    candidates: BTreeSet<Fingerprint>,
     /// Number of sound runs of each service.
     sound_runs: BTreeMap<ServiceId, u64>,
 }
@@ -387,6 +389,9 @@
                 request: request.whole,
             };
             let is_new = record.add(process.clone(), crash, self.settings.max_crashes);
+            if record.crashes.len() >= self.settings.crashes {
+                self.candidates.insert(fingerprint);
+            }
             is_changed |= is_new && record.is_relevant(fingerprint, &self.settings);
         }
         self.enforce_limit(now);
@@ -457,23 +462,27 @@
         self.update(service)
     }
 
-    /// Quarantines the suspects of a service that meet all conditions. Returns whether there are new
-    /// ones.
+    /// Quarantines the candidates of a service that meet all conditions. Returns whether there are new
+    /// quarantined ones.
     fn update(&mut self, service: &ServiceId) -> bool {
         let sound_runs = self.sound_runs.get(service).copied().unwrap_or_default();
         let settings = self.settings;
+        let records = &mut self.records;
         let mut is_changed = false;
-        for (fingerprint, record) in &mut self.records {
-            let is_due = record.crashes.len() >= settings.crashes
-                && !record.is_quarantined
-                && record.service == *service
+        self.candidates.retain(|fingerprint| {
+            let Some(record) = records.get_mut(fingerprint) else {
+                return false;
+            };
+            if record.crashes.len() < settings.crashes || record.is_quarantined {
+                return false;
+            }
+            let is_due = record.service == *service
                 && sound_runs >= record.sound_runs_before + settings.sound_runs
                 && record.count(*fingerprint) >= settings.crashes;
-            if is_due {
-                record.is_quarantined = true;
-                is_changed = true;
-            }
-        }
+            record.is_quarantined = is_due;
+            is_changed |= is_due;
+            !is_due
+        });
         is_changed
     }
 
@@ -482,12 +491,17 @@
         let mut is_changed = false;
         for (fingerprint, suspect) in &suspects.suspects {
             let sound_runs = self.sound_runs.get(&suspect.service).copied();
-            let record = self.records.entry(*fingerprint).or_insert_with(|| {
-                Record::new(suspect.service.clone(), sound_runs.unwrap_or_default())
-            });
+            let sound_runs = sound_runs.unwrap_or_default();
+            let record = self
+                .records
+                .entry(*fingerprint)
+                .or_insert_with(|| Record::new(suspect.service.clone(), sound_runs));
             if let Some(age) = suspect.cleared_for {
                 is_changed |= record.clear(now.minus(age), *fingerprint, &self.settings);
             }
+            if record.crashes.is_empty() {
+                record.sound_runs_before = sound_runs;
+            }
             for crash in &suspect.crashes {
                 let known = Crash {
                     at: now.minus(crash.age),
@@ -496,6 +510,9 @@
                 };
                 is_changed |= record.add(crash.id.clone(), known, self.settings.max_crashes);
             }
+            if record.crashes.len() >= self.settings.crashes {
+                self.candidates.insert(*fingerprint);
+            }
             if suspect.is_quarantined && !record.is_quarantined && !record.crashes.is_empty() {
                 record.is_quarantined = true;
                 is_changed = true;
