One size limit of events, and no copy of the body for its fingerprint

Both data planes had the same limit of an event's size; it belongs to the buffer that both use. A gateway copied the body of each model request twice to hash it; the fingerprint now takes several slices. Fingerprints of gateways change by it, which live in memory only. No other change of behaviour.

--- a/crates/mimosa-entry/src/relay.rs
+++ b/crates/mimosa-entry/src/relay.rs
@@ -8,6 +8,7 @@
 use futures_util::stream;
 use http_body_util::BodyExt;
 use mimosa_hold::events::EventBuffer;
+use mimosa_hold::events::MAX_EVENT_BYTES;
 use mimosa_protocol::Refusal;
 use mimosa_protocol::RefusalReason;
 use mimosa_protocol::Tokens;
@@ -25,8 +26,6 @@
 
 /// Output after which an answer counts as started, which clears the parts of its prompt.
 const SOUND_OUTPUT: Tokens = Tokens(8);
-/// Maximum size of an event; an incomplete event is buffered.
-const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// A response being streamed. Dropping it cancels the attempt.
 pub(crate) struct Relay {
--- a/crates/mimosa-gateway/src/part_quarantine.rs
+++ b/crates/mimosa-gateway/src/part_quarantine.rs
@@ -179,10 +179,9 @@
     let shared_parts = request.metadata.shared_parts.iter();
     let own_part = request.metadata.own_part.as_ref();
     let own_part = own_part.map_or("", |part| part.0.as_str());
-    let content = [uri.path(), "\n", own_part, "\n"].concat();
-    let content = [content.as_bytes(), body].concat();
+    let content = [uri.path().as_bytes(), own_part.as_bytes(), body];
     RequestParts {
-        whole: Fingerprint::of(request.account.as_ref(), &request.service, &content),
+        whole: Fingerprint::of_slices(request.account.as_ref(), &request.service, &content),
         parts: shared_parts
             .map(|part| Fingerprint::of_part(part.0.as_bytes()))
             .collect(),
--- a/crates/mimosa-gateway/src/resume.rs
+++ b/crates/mimosa-gateway/src/resume.rs
@@ -14,6 +14,7 @@
 use hyper::body::Frame;
 use log::info;
 use mimosa_hold::events::EventBuffer;
+use mimosa_hold::events::MAX_EVENT_BYTES;
 use tokio::time::Instant;
 use tokio::time::Sleep;
 use tokio::time::sleep;
@@ -33,9 +34,6 @@
 /// target.
 const STALL_TIMEOUT_GAPS: u32 = 4;
 
-/// Maximum size of an event. Incomplete events are buffered.
-const MAX_EVENT_BYTES: usize = 256 << 10;
-
 /// Request of a stream and its attempts so far, needed to resume the stream.
 pub(crate) struct ResumeContext {
     pub(crate) shared: Arc<Shared>,
--- a/crates/mimosa-hold/src/events.rs
+++ b/crates/mimosa-hold/src/events.rs
@@ -4,6 +4,9 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+/// Maximum size of an event; incomplete ones are buffered.
+pub const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// Finds the ends of server-sent events. An empty line ends an event; lines end with LF, CR or CRLF.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct EventScanner {
--- a/crates/mimosa-hold/src/quarantine.rs
+++ b/crates/mimosa-hold/src/quarantine.rs
@@ -83,9 +83,15 @@
 impl Fingerprint {
     /// Computes the fingerprint of a request: a 128-bit XXH3 hash, equal at all entries.
     pub fn of(account: Option<&AccountId>, service: &ServiceId, content: &[u8]) -> Self {
+        Self::of_slices(account, service, &[content])
+    }
+
+    /// The fingerprint of a request whose content is in several places.
+    pub fn of_slices(account: Option<&AccountId>, service: &ServiceId, content: &[&[u8]]) -> Self {
         let mut hash = Xxh3::new();
         let account = account.map_or("", AccountId::as_str);
-        for part in [account.as_bytes(), service.as_str().as_bytes(), content] {
+        let caller = [account.as_bytes(), service.as_str().as_bytes()];
+        for part in caller.iter().chain(content) {
             hash.update(&(part.len() as u64).to_le_bytes());
             hash.update(part);
         }
