--- a/crates/mimosa-hold/src/part_quarantine.rs
+++ b/crates/mimosa-hold/src/part_quarantine.rs
@@ -12,9 +12,9 @@
 //! * No run with the part was sound since the first of these crashes.
 //! * Other runs were sound meanwhile. Otherwise the service fails for all requests.
 //!
-//! A sound part that occurs in the same requests as the cause has the same crashes. A request is
-//! rejected only if no suspect that it does not contain explains the crashes of its own, so that
-//! requests with sound parts run and clear them.
+//! A sound part that occurs in the same requests as the cause has the same crashes, and perhaps one
+//! of another cause. A request is rejected only if suspects that it does not contain leave more than
+//! one crash of its own unexplained, so that requests with sound parts run and clear them.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
