Send the suspects to a gateway at most every 50 ms

Since gateways report when suspects were sound, the report of each gateway can change the suspects, and each change was sent to each gateway: with 294 gateways and up to 256 suspects of about 80 bytes that is up to 86,000 messages of 20 KB for one change of a popular part.

Each connection now waits 50 ms between two such messages; the first goes out at once. The new test sends 80 reports, 2 ms apart after each two.

--- a/crates/mimosa-control/src/routing/gateway_port.rs
+++ b/crates/mimosa-control/src/routing/gateway_port.rs
@@ -21,6 +21,7 @@
 use tokio::time::Instant;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
+use tokio::time::sleep_until;
 use tokio::time::timeout;
 
 use crate::replicator::Replicator;
@@ -33,6 +34,9 @@
 const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time limit of writing one message.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Minimum interval of messages with the suspects, which after the loss of many endpoints change with
+/// the report of each gateway.
+const SUSPECTS_INTERVAL: Duration = Duration::from_millis(50);
 /// Capacity of the outgoing queue of one connection.
 const MAX_QUEUED_MESSAGES: usize = 1_024;
 
@@ -135,6 +139,7 @@
         overloaded.mark_changed();
         let mut suspects = self.dispatcher.suspect_changes();
         suspects.mark_changed();
+        let mut suspects_due = Instant::now();
         loop {
             let frame = tokio::select! {
                 _ = ticks.tick() => Some(self.control_state()?),
@@ -143,7 +148,8 @@
                     let message = ControlMessage::OverloadedAccounts(accounts);
                     Some(frame::encode(&message)?.into())
                 }
-                Ok(()) = suspects.changed() => {
+                Ok(()) = changed_after(&mut suspects, suspects_due) => {
+                    suspects_due = Instant::now() + SUSPECTS_INTERVAL;
                     let suspects = self.dispatcher.suspects();
                     match suspects.suspects.is_empty() {
                         true => None,
@@ -206,3 +212,12 @@
         Ok(frame::encode(&ControlMessage::State(state))?.into())
     }
 }
+
+/// Waits for a change, and until it may be sent.
+async fn changed_after(
+    changes: &mut watch::Receiver<u64>,
+    due: Instant,
+) -> std::result::Result<(), watch::error::RecvError> {
+    sleep_until(due).await;
+    changes.changed().await
+}
--- a/crates/mimosa-control/tests/dispatch.rs
+++ b/crates/mimosa-control/tests/dispatch.rs
@@ -49,6 +49,8 @@
 use tempfile::TempDir;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio::time::sleep;
 
 const KV_CAPACITY: Tokens = Tokens(10_000);
 
@@ -223,11 +225,14 @@
             .await;
     }
 
+    async fn next_message(&mut self) -> ControlMessage {
+        frame::read(&mut self.stream).await.unwrap().unwrap()
+    }
+
     /// Waits for the next placement answer: whether the request was placed, and its number.
     async fn next_answer(&mut self) -> (bool, u64) {
         loop {
-            let message = frame::read(&mut self.stream).await.unwrap().unwrap();
-            match message {
+            match self.next_message().await {
                 ControlMessage::Placed { number, .. } => return (true, number),
                 ControlMessage::Queued { number } => return (false, number),
                 ControlMessage::Rejected { number, reason, .. } => {
@@ -267,8 +272,7 @@
     /// Waits for suspects of which one is quarantined.
     async fn next_quarantine(&mut self) -> Suspects {
         loop {
-            let message = frame::read(&mut self.stream).await.unwrap().unwrap();
-            if let ControlMessage::Suspects(suspects) = message
+            if let ControlMessage::Suspects(suspects) = self.next_message().await
                 && suspects
                     .suspects
                     .iter()
@@ -339,6 +343,36 @@
     expect_that!(rejects(&suspects, "bad"), eq(true));
 }
 
+/// Guards against a message to each gateway for each report of each gateway.
+#[googletest::test]
+#[tokio::test]
+async fn suspects_that_change_often_are_sent_together() {
+    const PARTS: u64 = 40;
+    /// Minimum interval of the messages.
+    const INTERVAL: Duration = Duration::from_millis(50);
+    let (control, _folder) = start().await;
+    let mut gateway = Gateway::connect(&control, "10.0.0.1").await;
+    let started = Instant::now();
+    for part in 0..PARTS {
+        for number in 1..=2 {
+            let id = 10 * part + number;
+            let part = format!("part-{part}");
+            gateway.report_lost(id, &part, age_of(number)).await;
+        }
+        sleep(Duration::from_millis(2)).await;
+    }
+    let mut messages = 0;
+    loop {
+        if let ControlMessage::Suspects(known) = gateway.next_message().await {
+            messages += 1;
+            if known.suspects.len() as u64 == PARTS {
+                break;
+            }
+        }
+    }
+    expect_that!(started.elapsed(), ge(INTERVAL * (messages - 1)));
+}
+
 /// A new leader knows nothing of the crashes before its time.
 #[googletest::test]
 #[tokio::test]
@@ -424,7 +458,7 @@
             .send(GatewayMessage::Prefilled { number, took })
             .await;
         gateway.send(GatewayMessage::Started { number }).await;
-        tokio::time::sleep(Duration::from_millis(60)).await;
+        sleep(Duration::from_millis(60)).await;
         let end = RunEnd::Complete(Tokens(3_000));
         gateway.send(GatewayMessage::Ended { number, end }).await;
     }
@@ -434,6 +468,6 @@
     expect_that!(fencing.holder.as_str(), eq("127.0.0.1"));
     expect_that!(fencing.token.get(), gt(0));
     expect_that!(fencing.expected_accepted, eq(7));
-    tokio::time::sleep(Duration::from_secs(2)).await;
+    sleep(Duration::from_secs(2)).await;
     expect_true!(orders.try_recv().is_err());
 }
