--- a/crates/mimosa-gateway/src/metrics.rs
+++ b/crates/mimosa-gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use mimosa_metrics::LATENCY_BUCKETS_SECONDS;
+use mimosa_protocol::configuration::EndpointRole;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
 use prometheus::IntCounterVec;
@@ -16,6 +17,7 @@
     requests: IntCounterVec,
     refusals: IntCounterVec,
     calls: IntCounterVec,
+    lost_calls: IntCounterVec,
     placements: IntCounterVec,
     quota_charges: IntCounterVec,
     retries: IntCounterVec,
@@ -58,6 +60,11 @@
                 "Calls to endpoints, by service and outcome",
                 &["service", "outcome"],
             ),
+            lost_calls: counter(
+                "mimosa_gateway_lost_calls_total",
+                "Calls whose connection an endpoint broke, by service, role and whether it ended",
+                &["service", "role", "ended"],
+            ),
             placements: counter(
                 "mimosa_gateway_placements_total",
                 "Requests of models, by who placed them",
@@ -112,6 +119,19 @@
         self.calls.with_label_values(&[service, outcome]).inc();
     }
 
+    /// Records a call whose connection an endpoint broke, and whether its process ended with it.
+    pub(crate) fn record_lost_call(&self, service: &str, role: EndpointRole, has_ended: bool) {
+        let role = match role {
+            EndpointRole::Plain => "plain",
+            EndpointRole::Prefill => "prefill",
+            EndpointRole::Decode => "decode",
+        };
+        let ended = if has_ended { "yes" } else { "no" };
+        self.lost_calls
+            .with_label_values(&[service, role, ended])
+            .inc();
+    }
+
     /// Records a placed request. `by` is `leader` or `gateway`; `waited` is the time since arrival.
     pub(crate) fn record_placement(&self, service: &str, by: &str, waited: Duration) {
         self.placements.with_label_values(&[by]).inc();
--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -31,6 +31,7 @@
 use crate::dispatch::PlacedRun;
 use crate::dispatch::PlacementOutcome;
 use crate::head::IdentifiedRequest;
+use crate::part_quarantine;
 use crate::part_quarantine::TrackedRun;
 use crate::quota;
 use crate::relay;
@@ -180,6 +181,7 @@
         } else {
             Duration::MAX
         };
+        let sent = shared.now();
         match prefill(
             shared,
             request,
@@ -192,6 +194,10 @@
         {
             Ok(lease) => attempts.kv_cache = Some(lease),
             Err(failure) => {
+                if failure.is_disconnect() {
+                    let parts = &client_request.parts;
+                    part_quarantine::log_lost_call(shared, request, parts, &endpoint, sent);
+                }
                 run.end(RunEnd::Unreachable(endpoint.listed.id.clone()));
                 attempts.tried.push(endpoint);
                 // Even if the prefill ran, the request itself was not executed.
@@ -490,7 +496,10 @@
     let now = shared.now();
     let Ok(Ok(body)) = body else {
         endpoint.health().record_unreachable(now);
-        return Err(CallFailure::Unknown("the prefill's answer was cut off"));
+        return Err(match body {
+            Ok(_) => upstream::RESPONSE_CUT,
+            Err(_) => CallFailure::TimedOut,
+        });
     };
     endpoint.pool.put(now, upstream_response.connection);
     endpoint.health().record_answer(now, now.since(sent));
--- a/crates/mimosa-gateway/src/part_quarantine.rs
+++ b/crates/mimosa-gateway/src/part_quarantine.rs
@@ -24,9 +24,11 @@
 use mimosa_route::ListedEndpoint;
 use mimosa_route::message::GatewayMessage;
 
+use crate::directory::EndpointEntry;
 use crate::dispatch::PlacementClient;
 use crate::head::IdentifiedRequest;
 use crate::response::Failure;
+use crate::shared::Shared;
 
 /// Events of a stream after which its answer counts as started, which clears the parts of its
 /// prompt.
@@ -174,6 +176,37 @@
     }
 }
 
+/// Logs whether an endpoint's process ended when it broke a connection with a request, which tells a
+/// crash from a lost answer. Runs in the background.
+pub(crate) fn log_lost_call(
+    shared: &Arc<Shared>,
+    request: &IdentifiedRequest,
+    parts: &RequestParts,
+    endpoint: &Arc<EndpointEntry>,
+    sent: Timestamp,
+) {
+    let shared = Arc::clone(shared);
+    let endpoint = Arc::clone(endpoint);
+    let attempt_id = request.metadata.attempt_id.clone();
+    let service = request.service.clone();
+    let content = parts.whole;
+    tokio::spawn(async move {
+        let ran_for = shared.now().since(sent);
+        let has_ended = endpoint.pool.has_ended(|| shared.now()).await;
+        info!(
+            "request={attempt_id} step=crash_check endpoint={} role={:?} ended={has_ended} \
+             ran_ms={} content={:032x}",
+            endpoint.listed.id,
+            endpoint.listed.role,
+            ran_for.as_millis(),
+            content.0
+        );
+        shared
+            .metrics
+            .record_lost_call(service.as_str(), endpoint.listed.role, has_ended);
+    });
+}
+
 /// Fingerprints of a request's content.
 pub(crate) fn request_parts(request: &IdentifiedRequest, uri: &Uri, body: &[u8]) -> RequestParts {
     let shared_parts = request.metadata.shared_parts.iter();
--- a/crates/mimosa-gateway/src/plain.rs
+++ b/crates/mimosa-gateway/src/plain.rs
@@ -13,6 +13,7 @@
 use crate::dialect::Step;
 use crate::directory::EndpointEntry;
 use crate::head::IdentifiedRequest;
+use crate::part_quarantine;
 use crate::relay;
 use crate::response::Body;
 use crate::response::Failure;
@@ -78,6 +79,10 @@
                     "request={} step=call outcome={failure:?} endpoint={} attempt={attempts}",
                     request.metadata.attempt_id, endpoint.listed.id
                 );
+                if failure.is_disconnect() {
+                    let parts = &client_request.parts;
+                    part_quarantine::log_lost_call(shared, request, parts, &endpoint, now);
+                }
                 last.replace(failure);
                 if !failure.has_not_run() && !may_rerun {
                     break;
--- a/crates/mimosa-gateway/src/relay.rs
+++ b/crates/mimosa-gateway/src/relay.rs
@@ -80,7 +80,7 @@
         }
         Err(_) => {
             endpoint.health().record_unreachable(now);
-            Err(CallFailure::Unknown("the answer was cut off"))
+            Err(upstream::RESPONSE_CUT)
         }
     }
 }
--- a/crates/mimosa-gateway/src/serve.rs
+++ b/crates/mimosa-gateway/src/serve.rs
@@ -10,7 +10,6 @@
 use hyper::header;
 use hyper::header::HeaderValue;
 use log::info;
-use mimosa_hold::part_quarantine::RequestParts;
 
 use crate::body;
 use crate::head;
@@ -96,10 +95,7 @@
     let time_left = identified.time_left(shared.now());
     let body = body::read(body, limits.max_body, time_left).await?;
     let is_model = identified.route.retry_policy.is_stream();
-    let parts = match is_model {
-        true => part_quarantine::request_parts(identified, &head.uri, &body),
-        false => RequestParts::default(),
-    };
+    let parts = part_quarantine::request_parts(identified, &head.uri, &body);
     let client_request = ClientRequest {
         method: head.method,
         uri: head.uri,
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -63,7 +63,7 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
-    /// Fingerprints of the content; empty for plain services.
+    /// Fingerprints of the content, for the quarantine.
     pub(crate) parts: Arc<RequestParts>,
 }
 
@@ -92,8 +92,15 @@
 /// The endpoint closed the connection before a response.
 pub(crate) const CONNECTION_LOST: CallFailure =
     CallFailure::Unknown("the endpoint broke the connection");
+/// The endpoint closed the connection within a response.
+pub(crate) const RESPONSE_CUT: CallFailure = CallFailure::Unknown("the answer was cut off");
 
 impl CallFailure {
+    /// Whether the endpoint broke the connection, perhaps because its process ended.
+    pub(crate) fn is_disconnect(self) -> bool {
+        self == CONNECTION_LOST || self == RESPONSE_CUT
+    }
+
     /// Whether the request was certainly not executed.
     pub(crate) const fn has_not_run(self) -> bool {
         let (progress, evidence) = match self {
