Quarantine requests that crash plain and prefill endpoints, at gateways

Callers saw services lose one endpoint after the other to a single request that came again. Gateways computed no fingerprint for plain services and reported only lost decodes, so nothing counted against such a request: the class is a safeguard that covers one of several paths to endpoints.

Gateways now report each plain run and each prefill that was lost together with its endpoint's process, which is checked because these calls lose single answers more often. They tell the leader of a few sound runs of the service after crashes, since it sees no completions of plain services, and remember when equal plain requests were last sound, so that a request that was lost beside crashes of another cause stays clear. A queued model request is checked again after it was placed, and a rejected plain one is not charged.

--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -31,7 +31,6 @@
 use crate::dispatch::PlacedRun;
 use crate::dispatch::PlacementOutcome;
 use crate::head::IdentifiedRequest;
-use crate::part_quarantine;
 use crate::part_quarantine::TrackedRun;
 use crate::quota;
 use crate::relay;
@@ -117,13 +116,17 @@
 ) -> Result<Response<Body>, Failure> {
     let mut last = None;
     for _ in 0..MAX_PLACEMENTS {
-        let allowed = shared
-            .suspects
-            .check(shared.now(), request, &client_request.parts);
-        if let Err(failure) = allowed {
-            return Err(last.map_or(failure, final_failure));
-        }
-        let assignment = match place(shared, request, attempts).await {
+        let check = || {
+            let parts = &client_request.parts;
+            shared.suspects.check(shared.now(), request, parts)
+        };
+        let assignment = match check() {
+            Ok(()) => place(shared, request, attempts).await,
+            Err(failure) => Err(failure),
+        };
+        // The request may have been quarantined while it was queued.
+        let assignment = assignment.and_then(|assignment| check().map(|()| assignment));
+        let assignment = match assignment {
             Ok(assignment) => assignment,
             Err(failure) => return Err(last.map_or(failure, final_failure)),
         };
@@ -195,8 +198,8 @@
             Ok(lease) => attempts.kv_cache = Some(lease),
             Err(failure) => {
                 if failure.is_disconnect() {
-                    let parts = &client_request.parts;
-                    part_quarantine::log_lost_call(shared, request, parts, &endpoint, sent);
+                    let tracked = TrackedRun::new(request, client_request);
+                    tracked.report_lost(shared, &endpoint, sent);
                 }
                 run.end(RunEnd::Unreachable(endpoint.listed.id.clone()));
                 attempts.tried.push(endpoint);
@@ -212,7 +215,7 @@
         Some(lease) => Step::Decode(lease.source()),
         None => Step::Full,
     };
-    let tracked = TrackedRun::new(request.service.clone(), Arc::clone(&client_request.parts));
+    let tracked = TrackedRun::new(request, client_request);
     let sent = shared.now();
     let time_left = request.time_left(sent);
     match upstream::call(shared, request, client_request, &decode, step, time_left).await {
@@ -253,14 +256,7 @@
                 request.metadata.shared_parts_text()
             );
             if failure == upstream::CONNECTION_LOST {
-                let now = shared.now();
-                tracked.report_lost(
-                    now,
-                    &shared.suspects,
-                    &shared.placement,
-                    &decode.listed,
-                    now.since(sent),
-                );
+                tracked.report_lost(shared, &decode, sent);
             }
             let id = decode.listed.id.clone();
             run.end(match failure {
--- a/crates/mimosa-gateway/src/part_quarantine.rs
+++ b/crates/mimosa-gateway/src/part_quarantine.rs
@@ -1,6 +1,7 @@
-//! Rejection of requests whose prompts crash endpoints. The leader attributes the crashes that
-//! gateways report; gateways apply its result, also while no leader answers.
+//! Rejection of requests that crash endpoints, or whose prompts do. The leader attributes the crashes
+//! that gateways report; gateways apply its result, also while no leader answers.
 
+use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -21,6 +22,7 @@
 use mimosa_protocol::Incarnation;
 use mimosa_protocol::ServiceId;
 use mimosa_protocol::Timestamp;
+use mimosa_protocol::configuration::EndpointRole;
 use mimosa_route::ListedEndpoint;
 use mimosa_route::message::GatewayMessage;
 
@@ -29,6 +31,7 @@
 use crate::head::IdentifiedRequest;
 use crate::response::Failure;
 use crate::shared::Shared;
+use crate::upstream::ClientRequest;
 
 /// Events of a stream after which its answer counts as started, which clears the parts of its
 /// prompt.
@@ -38,6 +41,9 @@
 const LOST_RUN_RETENTION: Duration = Duration::from_secs(30);
 /// Lost runs kept for new leaders; beyond it the oldest is dropped.
 const MAX_LOST_RUNS: usize = 64;
+/// Sound runs of a service that are reported after each change of its suspects. A quarantine
+/// requires as many.
+const SOUND_REPORTS: u8 = 2;
 
 /// The suspects known to this gateway, and its own recent lost runs.
 #[derive(Default)]
@@ -53,6 +59,8 @@
     sound_runs: RecentSoundRuns,
     /// Oldest first.
     lost_runs: VecDeque<LostRun>,
+    /// Sound runs of each service that remain to be reported.
+    sound_reports: HashMap<ServiceId, u8>,
 }
 
 /// A run that was lost with its endpoint at the start of its answer.
@@ -81,9 +89,21 @@
         if self.lost_runs.len() >= MAX_LOST_RUNS {
             self.lost_runs.pop_front();
         }
+        self.request_sound_reports(run.service.clone());
         self.lost_runs.push_back(run);
     }
 
+    fn request_sound_reports(&mut self, service: ServiceId) {
+        self.sound_reports.insert(service, SOUND_REPORTS);
+    }
+
+    /// Whether a sound run of this service is to be reported; counts it if so.
+    fn take_sound_report(&mut self, service: &ServiceId) -> bool {
+        let remaining = self.sound_reports.get_mut(service);
+        let remaining = remaining.filter(|remaining| **remaining > 0);
+        remaining.map(|remaining| *remaining -= 1).is_some()
+    }
+
     /// A later leader must not blame the parts of a sound run for earlier crashes.
     fn clear_lost_runs(&mut self, sound: &RequestParts) {
         self.lost_runs.retain_mut(|run| {
@@ -124,11 +144,16 @@
         now: Timestamp,
         suspects: &Suspects,
     ) -> Option<GatewayMessage> {
+        let mut inner = self.lock();
+        let services = suspects.suspects.iter();
+        for service in services.map(|(_, suspect)| &suspect.service) {
+            inner.request_sound_reports(service.clone());
+        }
         let Inner {
             quarantine,
             sound_runs,
             ..
-        } = &mut *self.lock();
+        } = &mut *inner;
         quarantine.expire(now);
         let is_changed = quarantine.merge(now, suspects);
         let sound = quarantine.clear_remembered(sound_runs);
@@ -159,6 +184,14 @@
         inner
             .lost_runs
             .retain(|run| now.since(run.at) < LOST_RUN_RETENTION);
+        let services: Vec<_> = inner
+            .lost_runs
+            .iter()
+            .map(|run| run.service.clone())
+            .collect();
+        for service in services {
+            inner.request_sound_reports(service);
+        }
         let mut reports: Vec<_> = inner
             .lost_runs
             .iter()
@@ -176,37 +209,6 @@
     }
 }
 
-/// Logs whether an endpoint's process ended when it broke a connection with a request, which tells a
-/// crash from a lost answer. Runs in the background.
-pub(crate) fn log_lost_call(
-    shared: &Arc<Shared>,
-    request: &IdentifiedRequest,
-    parts: &RequestParts,
-    endpoint: &Arc<EndpointEntry>,
-    sent: Timestamp,
-) {
-    let shared = Arc::clone(shared);
-    let endpoint = Arc::clone(endpoint);
-    let attempt_id = request.metadata.attempt_id.clone();
-    let service = request.service.clone();
-    let content = parts.whole;
-    tokio::spawn(async move {
-        let ran_for = shared.now().since(sent);
-        let has_ended = endpoint.pool.has_ended(|| shared.now()).await;
-        info!(
-            "request={attempt_id} step=crash_check endpoint={} role={:?} ended={has_ended} \
-             ran_ms={} content={:032x}",
-            endpoint.listed.id,
-            endpoint.listed.role,
-            ran_for.as_millis(),
-            content.0
-        );
-        shared
-            .metrics
-            .record_lost_call(service.as_str(), endpoint.listed.role, has_ended);
-    });
-}
-
 /// Fingerprints of a request's content.
 pub(crate) fn request_parts(request: &IdentifiedRequest, uri: &Uri, body: &[u8]) -> RequestParts {
     let shared_parts = request.metadata.shared_parts.iter();
@@ -221,66 +223,112 @@
     }
 }
 
-/// The run of a model request at an endpoint, as reported to the leader.
+/// The run of a request at an endpoint, as reported to the leader.
+#[derive(Clone)]
 pub(crate) struct TrackedRun {
-    pub(crate) service: ServiceId,
-    pub(crate) parts: Arc<RequestParts>,
-    pub(crate) is_sound: bool,
+    attempt_id: String,
+    service: ServiceId,
+    parts: Arc<RequestParts>,
+    is_sound: bool,
 }
 
 impl TrackedRun {
-    pub(crate) const fn new(service: ServiceId, parts: Arc<RequestParts>) -> Self {
+    pub(crate) fn new(request: &IdentifiedRequest, client_request: &ClientRequest) -> Self {
         Self {
-            service,
-            parts,
+            attempt_id: request.metadata.attempt_id.clone(),
+            service: request.service.clone(),
+            parts: Arc::clone(&client_request.parts),
             is_sound: false,
         }
     }
 
-    /// Records that the answer is past its start. Clears its parts if they are suspects.
+    /// Records that the answer is past its start; repetitions are ignored. Clears its parts if they
+    /// are suspects. The leader counts the complete runs of models, but it does not know those of
+    /// plain services, so a few of these are reported after crashes.
     pub(crate) fn record_sound(
         &mut self,
         now: Timestamp,
         known: &KnownSuspects,
         placement: &PlacementClient,
     ) {
+        if self.is_sound {
+            return;
+        }
         self.is_sound = true;
         let mut inner = known.lock();
         inner.sound_runs.record(now, &self.parts);
         inner.clear_lost_runs(&self.parts);
-        if inner.quarantine.is_suspect(&self.parts) {
+        let is_suspect = inner.quarantine.is_suspect(&self.parts);
+        if is_suspect {
             inner.quarantine.clear(now, &self.parts);
-            drop(inner);
+        }
+        let is_due = inner.take_sound_report(&self.service);
+        drop(inner);
+        if is_suspect || is_due {
             self.report_sound(placement);
         }
     }
 
-    /// Reports that the run was lost with its endpoint, `ran_for` after it was sent there.
+    /// Records that the endpoint broke the connection of this run. An endpoint that breaks the start
+    /// of an event stream is taken for crashed. For other calls, which lose single answers more often,
+    /// this is checked in the background.
     pub(crate) fn report_lost(
         &self,
-        now: Timestamp,
-        known: &KnownSuspects,
-        placement: &PlacementClient,
-        endpoint: &ListedEndpoint,
-        ran_for: Duration,
+        shared: &Arc<Shared>,
+        endpoint: &Arc<EndpointEntry>,
+        sent: Timestamp,
     ) {
+        let lost_at = shared.now();
         if self.is_sound {
-            return self.report_sound(placement);
+            return self.report_sound(&shared.placement);
         }
+        if endpoint.listed.role == EndpointRole::Decode {
+            return self.report_crash(shared, &endpoint.listed, sent, lost_at);
+        }
+        let run = self.clone();
+        let shared = Arc::clone(shared);
+        let endpoint = Arc::clone(endpoint);
+        tokio::spawn(async move {
+            let has_ended = endpoint.pool.has_ended(|| shared.now()).await;
+            let role = endpoint.listed.role;
+            info!(
+                "request={} step=crash_check endpoint={} role={role:?} ended={has_ended} \
+                 ran_ms={} content={:032x}",
+                run.attempt_id,
+                endpoint.listed.id,
+                lost_at.since(sent).as_millis(),
+                run.parts.whole.0
+            );
+            shared
+                .metrics
+                .record_lost_call(run.service.as_str(), role, has_ended);
+            if has_ended {
+                run.report_crash(&shared, &endpoint.listed, sent, lost_at);
+            }
+        });
+    }
+
+    fn report_crash(
+        &self,
+        shared: &Shared,
+        endpoint: &ListedEndpoint,
+        sent: Timestamp,
+        lost_at: Timestamp,
+    ) {
         let process = CrashId {
             endpoint: endpoint.id.clone(),
             incarnation: Incarnation(endpoint.started_at_ms),
         };
         let run = LostRun {
-            at: now,
+            at: lost_at,
             service: self.service.clone(),
             process,
-            ran_for,
+            ran_for: lost_at.since(sent),
             parts: RequestParts::clone(&self.parts),
         };
-        let report = run.to_report(now);
-        known.lock().add_lost_run(run);
-        placement.send_to_leader(report);
+        let report = run.to_report(shared.now());
+        shared.suspects.lock().add_lost_run(run);
+        shared.placement.send_to_leader(report);
     }
 
     fn report_sound(&self, placement: &PlacementClient) {
--- a/crates/mimosa-gateway/src/plain.rs
+++ b/crates/mimosa-gateway/src/plain.rs
@@ -13,7 +13,7 @@
 use crate::dialect::Step;
 use crate::directory::EndpointEntry;
 use crate::head::IdentifiedRequest;
-use crate::part_quarantine;
+use crate::part_quarantine::TrackedRun;
 use crate::relay;
 use crate::response::Body;
 use crate::response::Failure;
@@ -54,6 +54,13 @@
         else {
             break;
         };
+        let allowed = shared.suspects.check(now, request, &client_request.parts);
+        if let Err(failure) = allowed {
+            return match last {
+                LastOutcome::NotAttempted => Err(failure),
+                _ => last.into_result(),
+            };
+        }
         if attempts > 0 && !shared.take_retry(now, &request.service) {
             info!(
                 "request={} step=retry outcome=refused reason=\"no retry budget\"",
@@ -79,10 +86,6 @@
                     "request={} step=call outcome={failure:?} endpoint={} attempt={attempts}",
                     request.metadata.attempt_id, endpoint.listed.id
                 );
-                if failure.is_disconnect() {
-                    let parts = &client_request.parts;
-                    part_quarantine::log_lost_call(shared, request, parts, &endpoint, now);
-                }
                 last.replace(failure);
                 if !failure.has_not_run() && !may_rerun {
                     break;
@@ -175,6 +178,8 @@
     endpoint: &Arc<EndpointEntry>,
     time_limit: Duration,
 ) -> Result<Response<Body>, CallFailure> {
+    let tracked = TrackedRun::new(request, client_request);
+    let sent = shared.now();
     let upstream_response = upstream::call(
         shared,
         request,
@@ -183,11 +188,16 @@
         Step::Full,
         time_limit,
     )
-    .await?;
+    .await
+    .inspect_err(|failure| {
+        if *failure == upstream::CONNECTION_LOST {
+            tracked.report_lost(shared, endpoint, sent);
+        }
+    })?;
     let time_left = request.time_left(shared.now());
     match tokio::time::timeout(
         time_left,
-        relay::buffer_or_stream(shared, upstream_response, request.deadline),
+        relay::buffer_or_stream(shared, upstream_response, request.deadline, tracked),
     )
     .await
     {
--- a/crates/mimosa-gateway/src/relay.rs
+++ b/crates/mimosa-gateway/src/relay.rs
@@ -48,11 +48,13 @@
     shared: &Arc<Shared>,
     upstream_response: UpstreamResponse,
     deadline: Timestamp,
+    mut tracked: TrackedRun,
 ) -> Result<Response<Body>, CallFailure> {
     let length = upstream_response.response.body().size_hint().exact();
     if length.is_none_or(|length| length > MAX_BUFFERED_BYTES) {
         let info = StreamInfo {
             deadline,
+            tracked: Some(tracked),
             ..StreamInfo::default()
         };
         return Ok(stream(shared, upstream_response, info));
@@ -72,6 +74,7 @@
         Ok(body) => {
             record_health(&endpoint, now, sent, head.status.is_server_error());
             endpoint.pool.put(now, connection);
+            tracked.record_sound(now, &shared.suspects, &shared.placement);
             upstream::remove_hop_by_hop(&mut head.headers);
             Ok(Response::from_parts(
                 head,
@@ -80,6 +83,7 @@
         }
         Err(_) => {
             endpoint.health().record_unreachable(now);
+            tracked.report_lost(shared, &endpoint, sent);
             Err(upstream::RESPONSE_CUT)
         }
     }
@@ -143,7 +147,7 @@
     pub(crate) resumes: bool,
     /// Run to report progress for; `None` for plain services.
     pub(crate) run: Option<PlacedRun>,
-    /// The same run for the quarantine; `None` for plain services.
+    /// The run for the quarantine.
     pub(crate) tracked: Option<TrackedRun>,
     /// Output tokens per event.
     pub(crate) tokens_per_event: Tokens,
@@ -249,9 +253,7 @@
 
     /// Records that the answer is past its start.
     fn record_sound(&mut self) {
-        if let Some(tracked) = &mut self.info.tracked
-            && !tracked.is_sound
-        {
+        if let Some(tracked) = &mut self.info.tracked {
             let now = self.shared.now();
             tracked.record_sound(now, &self.shared.suspects, &self.shared.placement);
         }
@@ -326,13 +328,7 @@
                 "cut" => {
                     self.endpoint.health().record_unreachable(now);
                     if let Some(tracked) = &self.info.tracked {
-                        tracked.report_lost(
-                            now,
-                            &self.shared.suspects,
-                            &self.shared.placement,
-                            &self.endpoint.listed,
-                            now.since(self.sent),
-                        );
+                        tracked.report_lost(&self.shared, &self.endpoint, self.sent);
                     }
                 }
                 _ => {}
--- a/crates/mimosa-gateway/src/response.rs
+++ b/crates/mimosa-gateway/src/response.rs
@@ -110,7 +110,7 @@
             Self::NotRun { reason, .. } | Self::Lost(reason) => reason,
             Self::OverQuota(_) => "the quota is used up for now",
             Self::OverBurst => "the request is larger than the account's burst",
-            Self::Quarantined(_) => "requests with this prompt crash endpoints",
+            Self::Quarantined(_) => "requests like this one crash endpoints",
             Self::TimedOut => "timeout",
         }
     }
--- a/crates/mimosa-gateway/src/serve.rs
+++ b/crates/mimosa-gateway/src/serve.rs
@@ -107,6 +107,10 @@
     if is_model {
         model::serve(shared, identified, &client_request).await
     } else {
+        // A rejected request is not charged to the quota.
+        shared
+            .suspects
+            .check(shared.now(), identified, &client_request.parts)?;
         quota::admit(shared, identified).await?;
         plain::serve(shared, identified, &client_request).await
     }
--- a/crates/mimosa-hold/src/part_quarantine.rs
+++ b/crates/mimosa-hold/src/part_quarantine.rs
@@ -587,8 +587,8 @@
     }
 }
 
-/// When runs with each prompt part were last sound, for the most recent parts. Tells whether a
-/// suspect that was unknown until now was sound after its first crashes.
+/// When runs with each prompt part, or of each request without parts, were last sound, for the most
+/// recent ones. Tells whether a suspect that was unknown until now was sound after its first crashes.
 #[derive(Clone, Debug, Default)]
 pub struct RecentSoundRuns {
     newer: HashMap<Fingerprint, Timestamp>,
@@ -596,14 +596,15 @@
 }
 
 impl RecentSoundRuns {
-    /// Parts in each of the two halves, of which the older one is dropped when the
+    /// Entries in each of the two halves, of which the older one is dropped when the
     /// newer one is full.
     const HALF_CAPACITY: usize = 1_024;
 
-    /// Records a sound run with these parts.
+    /// Records a sound run with these parts. Requests without parts are often equal, unlike prompts.
     pub fn record(&mut self, now: Timestamp, request: &RequestParts) {
-        for part in &request.parts {
-            self.newer.insert(*part, now);
+        let whole = request.parts.is_empty().then_some(request.whole);
+        for part in request.parts.iter().copied().chain(whole) {
+            self.newer.insert(part, now);
         }
         if self.newer.len() >= Self::HALF_CAPACITY {
             self.older = std::mem::take(&mut self.newer);
