Quarantine calls that crash plain endpoints, at entries

Entries now fingerprint calls to plain services, check whether the process of an endpoint ended when it broke a connection, and count the crash for the call. Plain endpoints report no incarnation, so an entry names a process by the time of the crash: calls that began before it were lost in the same one.

--- a/crates/mimosa-entry/src/attempt.rs
+++ b/crates/mimosa-entry/src/attempt.rs
@@ -116,6 +116,10 @@
         self.grant.prefill.is_some() && !self.contacted.is_empty()
     }
 
+    pub(crate) const fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
     pub(crate) fn id(&self) -> AttemptId {
         self.id
     }
--- a/crates/mimosa-entry/src/plain.rs
+++ b/crates/mimosa-entry/src/plain.rs
@@ -21,6 +21,8 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
+use mimosa_hold::part_quarantine::RequestParts;
+use mimosa_hold::quarantine::Fingerprint;
 use mimosa_protocol::AccountId;
 use mimosa_protocol::EndpointId;
 use mimosa_protocol::ExecutionStatus;
@@ -52,6 +54,7 @@
 use crate::place::RequestQueue;
 use crate::retry::AttemptHistory;
 use crate::shared::Shared;
+use crate::suspects::TrackedCall;
 
 /// Header with the caller's key for a non-idempotent request. Repetitions under the same key get
 /// the recorded response instead of a second run.
@@ -84,6 +87,22 @@
     pub(crate) path: String,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Identifies the request when it comes again, for the quarantine.
+    pub(crate) parts: Arc<RequestParts>,
+}
+
+/// Identifies a request by its account, service, path and body.
+pub(crate) fn request_parts(
+    account: Option<&ClientAccount>,
+    service: &ServiceId,
+    path: &str,
+    body: &[u8],
+) -> RequestParts {
+    let account = account.map(|account| &account.id);
+    RequestParts {
+        whole: Fingerprint::of_slices(account, service, &[path.as_bytes(), body]),
+        parts: Vec::new(),
+    }
 }
 
 /// Removes the headers of [`HOP_BY_HOP_HEADERS`], which must not be forwarded.
@@ -101,6 +120,7 @@
     ///
     /// A refusal that states whether the request ran.
     pub(crate) async fn run(self) -> Result<Response, Refusal> {
+        self.check_quarantine()?;
         let queue = self
             .shared
             .queues
@@ -117,20 +137,26 @@
         }
     }
 
+    fn check_quarantine(&self) -> Result<(), Refusal> {
+        self.shared.quarantine.check(self.shared.now(), &self.parts)
+    }
+
     /// Runs the request, retrying at other endpoints.
     async fn run_idempotent(&self, queue: &Arc<dyn RequestQueue>) -> Result<Response, Refusal> {
         let mut attempts = AttemptHistory::new();
         loop {
+            self.check_quarantine()
+                .map_err(|refusal| attempts.merge_into(refusal))?;
             let outcome = self
                 .try_once(queue, attempts.number(), attempts.avoid())
                 .await;
             match outcome.map_err(|refusal| attempts.merge_into(refusal))? {
-                Ok((attempt, engine_response)) => {
+                Ok(answered) => {
                     let shared = &self.shared;
                     shared
                         .retry_budgets
                         .record_success(shared.now(), &self.service.id);
-                    return Ok(stream_response(attempt, engine_response));
+                    return Ok(stream_response(answered));
                 }
                 Err(failed)
                     if attempts.record_failure(
@@ -150,7 +176,7 @@
     /// Sends the request once, without retries.
     async fn run_once(&self, queue: &Arc<dyn RequestQueue>) -> Result<Response, Refusal> {
         match self.try_once(queue, 1, Vec::new()).await? {
-            Ok((attempt, engine_response)) => Ok(stream_response(attempt, engine_response)),
+            Ok(answered) => Ok(stream_response(answered)),
             Err(failed) => Err(refusal_of(&failed)),
         }
     }
@@ -194,9 +220,7 @@
                 intent.end(end_of_failure(&failed));
                 Err(refusal_of(&failed))
             }
-            Ok(Ok((attempt, engine_response))) => {
-                self.record_response(intent, attempt, engine_response).await
-            }
+            Ok(Ok(answered)) => self.record_response(intent, answered).await,
         }
     }
 
@@ -204,9 +228,13 @@
     async fn record_response(
         &self,
         mut intent: LedgerIntent<'_>,
-        attempt: Attempt,
-        engine_response: EngineResponse,
+        answered: AnsweredCall,
     ) -> Result<Response, Refusal> {
+        let AnsweredCall {
+            attempt,
+            engine_response,
+            call,
+        } = answered;
         let body = Limited::new(engine_response.body, MAX_RECORDED_BYTES)
             .collect()
             .await;
@@ -215,10 +243,12 @@
             Ok(body) if !is_cut => body,
             _ => {
                 intent.end(LedgerEnd::Unknown);
+                call.record_lost(&self.shared);
                 attempt.end(AttemptEnd::Failed);
                 return Err(Refusal::unknown(RefusalReason::EndpointFailed));
             }
         };
+        call.record_sound(&self.shared);
         attempt.end(AttemptEnd::Complete);
         let content_type = engine_response.headers.get(CONTENT_TYPE);
         let recorded = RecordedAnswer {
@@ -239,7 +269,7 @@
         queue: &Arc<dyn RequestQueue>,
         number: u32,
         avoid: Vec<EndpointId>,
-    ) -> Result<Result<(Attempt, EngineResponse), AttemptFailure>, Refusal> {
+    ) -> Result<Result<AnsweredCall, AttemptFailure>, Refusal> {
         let submission = self.submission(avoid);
         let attempt = Attempt::place(&self.shared, queue, submission, number).await?;
         authorise(&self.shared, &self.caller, &self.service)?;
@@ -248,12 +278,30 @@
             Err(failed) => Err(failed),
             Ok(address) => {
                 let request = self.plain_request(&attempt);
-                let engine_response = self.shared.engine_client.plain(address, request).await;
-                engine_response.map_err(|failure| attempt.record_failure(failure, &endpoint))
+                let call = TrackedCall {
+                    service: self.service.id.clone(),
+                    parts: Arc::clone(&self.parts),
+                    endpoint: endpoint.clone(),
+                    address,
+                    began: self.shared.now(),
+                };
+                match self.shared.engine_client.plain(address, request).await {
+                    Ok(engine_response) => Ok((engine_response, call)),
+                    Err(failure) => {
+                        if failure == EngineFailure::DISCONNECTED {
+                            call.record_lost(&self.shared);
+                        }
+                        Err(attempt.record_failure(failure, &endpoint))
+                    }
+                }
             }
         };
         match sent {
-            Ok(engine_response) => Ok(Ok((attempt, engine_response))),
+            Ok((engine_response, call)) => Ok(Ok(AnsweredCall {
+                attempt,
+                engine_response,
+                call,
+            })),
             Err(failed) => {
                 let declined = failed.failure.ran == ExecutionStatus::No;
                 attempt.end(if declined {
@@ -391,9 +439,21 @@
     response
 }
 
+/// An attempt whose endpoint has sent the head of its response.
+struct AnsweredCall {
+    attempt: Attempt,
+    engine_response: EngineResponse,
+    call: TrackedCall,
+}
+
 /// Streams a response to the caller. The attempt ends with the stream; if the endpoint breaks it
 /// off, the caller's stream breaks off too.
-fn stream_response(attempt: Attempt, engine_response: EngineResponse) -> Response {
+fn stream_response(answered: AnsweredCall) -> Response {
+    let AnsweredCall {
+        attempt,
+        engine_response,
+        call,
+    } = answered;
     let EngineResponse {
         status,
         mut headers,
@@ -401,18 +461,25 @@
         ends_with_connection,
     } = engine_response;
     strip_hop_by_hop_headers(&mut headers);
-    let start = (body, Some(attempt));
-    let chunks = futures_util::stream::unfold(start, move |(mut body, mut attempt)| async move {
+    let start = (body, Some((attempt, call)));
+    let chunks = futures_util::stream::unfold(start, move |(mut body, mut open)| async move {
         match body.frame().await {
-            Some(Ok(frame)) => Some((Ok(frame), (body, attempt))),
-            Some(Err(e)) => Some((Err(e), (Body::empty(), attempt.take()))),
+            Some(Ok(frame)) => Some((Ok(frame), (body, open))),
+            Some(Err(e)) => {
+                if let Some((attempt, call)) = open.take() {
+                    call.record_lost(attempt.shared());
+                }
+                Some((Err(e), (Body::empty(), None)))
+            }
             None => {
-                let attempt = attempt.take()?;
+                let (attempt, call) = open.take()?;
                 if ends_with_connection && attempt.has_endpoint_ended().await {
+                    call.record_lost(attempt.shared());
                     attempt.end(AttemptEnd::Failed);
                     let e = axum::Error::new(EndpointEnded);
                     return Some((Err(e), (Body::empty(), None)));
                 }
+                call.record_sound(attempt.shared());
                 attempt.end(AttemptEnd::Complete);
                 None
             }
--- a/crates/mimosa-entry/src/route/services.rs
+++ b/crates/mimosa-entry/src/route/services.rs
@@ -14,6 +14,7 @@
 use crate::access::authorise;
 use crate::body;
 use crate::filter::record::AssignedId;
+use crate::plain;
 use crate::plain::ServiceRequest;
 use crate::plain::strip_hop_by_hop_headers;
 use crate::problem;
@@ -68,6 +69,7 @@
     let limits = &shared.settings.limits;
     let body = body::read(body, limits.body, limits.body_time).await?;
     strip_hop_by_hop_headers(&mut parts.headers);
+    let content = plain::request_parts(account.as_ref(), &service.id, &path, &body);
     Ok(ServiceRequest {
         shared,
         caller,
@@ -79,5 +81,6 @@
         path,
         headers: parts.headers,
         body,
+        parts: Arc::new(content),
     })
 }
--- a/crates/mimosa-entry/src/suspects.rs
+++ b/crates/mimosa-entry/src/suspects.rs
@@ -2,6 +2,7 @@
 //! centre.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -50,6 +51,8 @@
     suspects_changed: bool,
     suspects_sent_at: Timestamp,
     incarnations: HashMap<EndpointId, Incarnation>,
+    /// The last crash of each endpoint of a plain service, which reports no incarnation.
+    plain_crashes: HashMap<EndpointId, Timestamp>,
     /// Position of the last record sent to the other entries.
     gossiped_position: u64,
     gossiped_at: Timestamp,
@@ -103,6 +106,42 @@
     }
 }
 
+/// A call to a plain service, for the quarantine.
+pub(crate) struct TrackedCall {
+    pub(crate) service: ServiceId,
+    pub(crate) parts: Arc<RequestParts>,
+    pub(crate) endpoint: EndpointId,
+    pub(crate) address: SocketAddr,
+    pub(crate) began: Timestamp,
+}
+
+impl TrackedCall {
+    /// Records that the call was answered completely.
+    pub(crate) fn record_sound(&self, shared: &Shared) {
+        shared.quarantine.record_sound_call(shared.now(), self);
+    }
+
+    /// Records that the endpoint broke the connection of the call. Whether its process ended is checked
+    /// in the background, because single answers are lost as well.
+    pub(crate) fn record_lost(self, shared: &Arc<Shared>) {
+        let shared = Arc::clone(shared);
+        let lost_at = shared.now();
+        tokio::spawn(async move {
+            let has_ended = shared.engine_client.refuses_connections(self.address).await;
+            log::info!(
+                "service {}: endpoint {} broke the connection of a call after {} ms, its process {}",
+                self.service,
+                self.endpoint,
+                lost_at.since(self.began).as_millis(),
+                if has_ended { "ended" } else { "goes on" }
+            );
+            if has_ended {
+                shared.quarantine.record_lost_call(lost_at, &self);
+            }
+        });
+    }
+}
+
 impl QuarantineTracker {
     pub(crate) fn new() -> Self {
         Self {
@@ -116,6 +155,7 @@
                 suspects_changed: false,
                 suspects_sent_at: Timestamp::ZERO,
                 incarnations: HashMap::new(),
+                plain_crashes: HashMap::new(),
                 gossiped_position: 0,
                 gossiped_at: Timestamp::ZERO,
             }),
@@ -222,6 +262,34 @@
         inner.record_crash(now, endpoint, incarnation);
     }
 
+    /// Records that a call to a plain service was answered, which clears it.
+    fn record_sound_call(&self, now: Timestamp, call: &TrackedCall) {
+        let mut inner = self.lock();
+        let is_changed = inner.parts.clear(now, &call.parts);
+        let is_counted = inner.parts.count_sound_run(&call.service);
+        inner.suspects_changed |= is_changed || is_counted;
+    }
+
+    /// Records that a call to a plain service was lost with the endpoint's process at `lost_at`. All
+    /// calls that began before a crash were lost in the same one.
+    fn record_lost_call(&self, lost_at: Timestamp, call: &TrackedCall) {
+        let mut inner = self.lock();
+        let known = inner.plain_crashes.get(&call.endpoint);
+        let crashed_at = known.filter(|at| call.began <= **at).copied();
+        let crashed_at = crashed_at.unwrap_or(lost_at);
+        inner
+            .plain_crashes
+            .insert(call.endpoint.clone(), crashed_at);
+        let process = CrashId {
+            endpoint: call.endpoint.clone(),
+            incarnation: Incarnation(crashed_at.as_micros()),
+        };
+        let ran_for = lost_at.since(call.began);
+        let parts = &mut inner.parts;
+        let is_changed = parts.record_lost(lost_at, &call.service, &call.parts, &process, ran_for);
+        inner.suspects_changed |= is_changed;
+    }
+
     /// Merges records received from another entry.
     pub(crate) fn merge(&self, now: Timestamp, from: &InstanceId, delta: &Delta) {
         if self.lock().quarantine.merge(now, delta) {
--- a/crates/mimosa-entry/tests/callers/main.rs
+++ b/crates/mimosa-entry/tests/callers/main.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod control;
+mod crashing_calls;
 mod fixture;
 mod http;
 mod keys;
--- a/crates/mimosa-entry/tests/callers/raw.rs
+++ b/crates/mimosa-entry/tests/callers/raw.rs
@@ -66,6 +66,33 @@
         self.end.notify_one();
     }
 
+    /// Starts an endpoint that ends with the first request to a path that contains this text.
+    pub async fn ending_on(path: &'static str) -> Self {
+        let (listener, address) = listen().await;
+        let task = tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                match read_request(&mut stream).await {
+                    Some(request) if request.contains(path) => {
+                        drop(listener);
+                        return drop(stream);
+                    }
+                    Some(_) => write_and_close(stream, SMALL_RESPONSE).await,
+                    None => {}
+                }
+            }
+        });
+        Self {
+            address,
+            task,
+            end: Arc::default(),
+        }
+    }
+
+    /// Whether the process of the endpoint has ended.
+    pub fn has_ended(&self) -> bool {
+        self.task.is_finished()
+    }
+
     async fn start(response: String) -> Self {
         let (listener, address) = listen().await;
         let task = tokio::spawn(async move {
