--- a/crates/mimosa-gateway/src/dialect.rs
+++ b/crates/mimosa-gateway/src/dialect.rs
@@ -9,6 +9,7 @@
 use hyper::StatusCode;
 use mimosa_protocol::AccountId;
 use mimosa_protocol::EndpointId;
+use mimosa_protocol::RequestRate;
 use mimosa_protocol::Tokens;
 
 /// Metadata from the headers of a client request.
@@ -111,6 +112,13 @@
     pub waiting: u32,
 }
 
+/// What an endpoint asks of all its senders in a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SenderAdvice {
+    /// Highest rate at which all senders together may send requests, until a response names none.
+    pub max_rate: Option<RequestRate>,
+}
+
 /// Reads and writes the header and body conventions of clients and endpoints.
 pub trait Dialect: Send + Sync + 'static {
     /// Extracts the metadata of a client request. Missing and malformed values are left empty.
@@ -133,6 +141,9 @@
     /// The load that the endpoint reports in a response; `None` if it reports none.
     fn reported_load(&self, headers: &HeaderMap) -> Option<ReportedLoad>;
 
+    /// What the endpoint asks of its senders in a response.
+    fn advice(&self, headers: &HeaderMap) -> SenderAdvice;
+
     /// Identifier of the last stream event that the client already has; `None` if the stream starts
     /// from the beginning.
     fn last_event_id(&self, headers: &HeaderMap) -> Option<String>;
--- a/crates/mimosa-gateway/src/directory.rs
+++ b/crates/mimosa-gateway/src/directory.rs
@@ -35,6 +35,7 @@
 use mimosa_route::sync::UpdateAction;
 use mimosa_schedule::cold::ColdStart;
 use mimosa_schedule::health::Health;
+use mimosa_schedule::rate_limit::RateLimit;
 
 use crate::connection::Pool;
 use crate::dialect::ReportedLoad;
@@ -90,6 +91,8 @@
     pub(crate) in_flight: Arc<AtomicU32>,
     pub(crate) health: Mutex<Health>,
     reported_load: Mutex<Option<(Timestamp, ReportedLoad)>>,
+    /// The rate limit that the endpoint names for all gateways together.
+    rate_limit: Mutex<RateLimit>,
 }
 
 impl EndpointEntry {
@@ -101,6 +104,12 @@
         self.cold.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn rate_limit(&self) -> MutexGuard<'_, RateLimit> {
+        self.rate_limit
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn set_reported_load(&self, now: Timestamp, load: ReportedLoad) {
         *self
             .reported_load
@@ -412,6 +421,9 @@
                 previous.map_or_else(Health::default, |previous| previous.health().clone()),
             ),
             reported_load: Mutex::new(previous.and_then(Self::reported_load)),
+            rate_limit: Mutex::new(
+                previous.map_or_else(RateLimit::default, |previous| *previous.rate_limit()),
+            ),
         }
     }
 }
--- a/crates/mimosa-gateway/src/shared.rs
+++ b/crates/mimosa-gateway/src/shared.rs
@@ -14,6 +14,7 @@
 use mimosa_protocol::ServiceId;
 use mimosa_protocol::Timestamp;
 use mimosa_route::RetryPolicy;
+use mimosa_schedule::rate_limit::Senders;
 use mimosa_transport::clock::Clock;
 use tokio::sync::Notify;
 
@@ -57,8 +58,8 @@
     gateway_counts: Mutex<HashMap<InstanceId, u32>>,
     retry_budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
     clock: Clock,
-    /// Random number of this process lifetime. It sets the phase at which this gateway sends to
-    /// cold endpoints, so that gateways do not all send at the same moment.
+    /// Random number of this process lifetime. It sets the phase at which this gateway sends to cold
+    /// and limited endpoints, so that gateways do not all send at the same moment.
     pub(crate) pacing_number: u64,
     random: AtomicU64,
 }
@@ -117,6 +118,14 @@
         self.gateways.load(Ordering::Relaxed)
     }
 
+    /// The gateways that share the rate limits of endpoints.
+    pub(crate) fn senders(&self) -> Senders {
+        Senders {
+            count: self.gateways.load(Ordering::Relaxed),
+            number: self.pacing_number,
+        }
+    }
+
     /// A pseudo-random number for load spreading; not for security.
     pub(crate) fn random(&self) -> u64 {
         // Weyl sequence and the finalizer of SplitMix64.
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -10,11 +10,13 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::Uri;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
+use log::info;
 use mimosa_hold::part_quarantine::RequestParts;
 use mimosa_hold::retry::Evidence;
 use mimosa_hold::retry::Progress;
@@ -31,6 +33,7 @@
 use crate::connection::PoolError;
 use crate::dialect::OutgoingCall;
 use crate::dialect::ResponseClass;
+use crate::dialect::SenderAdvice;
 use crate::dialect::Step;
 use crate::directory::EndpointEntry;
 use crate::directory::EndpointSet;
@@ -248,7 +251,12 @@
         endpoint.set_reported_load(now, load);
     }
     let attempt_id = &request.metadata.attempt_id;
-    match dialect.classify(attempt_id, &step, response.status(), response.headers()) {
+    let class = dialect.classify(attempt_id, &step, response.status(), response.headers());
+    // Another endpoint may have taken over the address.
+    if class != ResponseClass::Unverified && response.status() != StatusCode::MISDIRECTED_REQUEST {
+        record_advice(shared, endpoint, sent, &dialect.advice(response.headers()));
+    }
+    match class {
         ResponseClass::Verified => Ok(UpstreamResponse {
             response,
             connection,
@@ -267,6 +275,28 @@
     }
 }
 
+/// Records what an endpoint asks of its senders.
+fn record_advice(
+    shared: &Shared,
+    endpoint: &EndpointEntry,
+    sent: Timestamp,
+    advice: &SenderAdvice,
+) {
+    let now = shared.now();
+    let is_changed =
+        endpoint
+            .rate_limit()
+            .record_response(now, sent, advice.max_rate, shared.senders());
+    if is_changed {
+        let id = &endpoint.listed.id;
+        let gateways = shared.senders().count;
+        match advice.max_rate {
+            Some(rate) => info!("endpoint={id} state=limited max_per_s={rate} gateways={gateways}"),
+            None => info!("endpoint={id} state=unlimited"),
+        }
+    }
+}
+
 fn outgoing(
     shared: &Shared,
     request: &IdentifiedRequest,
--- a/crates/mimosa-protocol/src/lib.rs
+++ b/crates/mimosa-protocol/src/lib.rs
@@ -44,6 +44,7 @@
 pub use crate::size::ByteRate;
 pub use crate::size::ByteSize;
 pub use crate::size::KvBlocks;
+pub use crate::size::RequestRate;
 pub use crate::size::TokenRate;
 pub use crate::size::Tokens;
 pub use crate::time::Timestamp;
--- a/crates/mimosa-protocol/src/size.rs
+++ b/crates/mimosa-protocol/src/size.rs
@@ -1,5 +1,7 @@
 //! Newtypes for sizes and rates.
 
+use std::fmt;
+use std::str::FromStr;
 use std::time::Duration;
 
 quantity! {
@@ -15,6 +17,39 @@
     ByteRate(u64);
 }
 
+data! {
+    /// A rate in requests per 1,000 s, so that fractions of a request per second are exact. Written as
+    /// a decimal number of requests per second.
+    #[derive(Copy, Default, PartialOrd, Ord)]
+    #[serde(transparent)]
+    pub struct RequestRate(pub u64);
+}
+
+/// A text that is not a decimal number of requests per second.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("a request rate is a decimal number that is not negative, such as 2.5")]
+pub struct InvalidRequestRate;
+
+impl FromStr for RequestRate {
+    type Err = InvalidRequestRate;
+
+    /// Rates above what the type holds are limited to its largest value.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let is_number = text.starts_with(|c: char| c.is_ascii_digit());
+        let rate: f64 = text.parse().map_err(|_| InvalidRequestRate)?;
+        let is_valid = is_number && rate.is_finite();
+        is_valid
+            .then_some(Self((rate * 1_000.0).round() as u64))
+            .ok_or(InvalidRequestRate)
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:03}", self.0 / 1_000, self.0 % 1_000)
+    }
+}
+
 /// Default size of a KV cache block in tokens, for endpoints that configure no other.
 pub const TOKENS_PER_BLOCK: Tokens = Tokens(4096);
 
--- a/crates/mimosa-schedule/src/lib.rs
+++ b/crates/mimosa-schedule/src/lib.rs
@@ -129,6 +129,7 @@
 pub mod fleet;
 pub mod health;
 pub mod pick;
+pub mod rate_limit;
 pub mod scheduler;
 pub mod settings;
 pub mod succession;
--- /dev/null
+++ b/crates/mimosa-schedule/tests/rate_limit.rs
@@ -0,0 +1,163 @@
+//! Rate limits of endpoints, kept by many senders that do not coordinate.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use mimosa_protocol::RequestRate;
+use mimosa_protocol::Timestamp;
+use mimosa_schedule::rate_limit::RateLimit;
+use mimosa_schedule::rate_limit::Senders;
+
+const START: Timestamp = Timestamp::from_secs(100);
+const STEP: Duration = Duration::from_millis(10);
+const WINDOW: Duration = Duration::from_secs(4);
+/// Seeds of each case.
+const SEEDS: u64 = 4;
+const DAY: Duration = Duration::from_secs(60);
+
+/// The users' bound: one and a half times the limit, and five requests.
+fn allowed(limit: RequestRate) -> usize {
+    (limit.0 as usize * 4 * 3).div_ceil(2 * 1_000) + 5
+}
+
+/// Times of all requests of senders that send whenever they may and `wants` is true, oldest first.
+fn sent_by(
+    count: u32,
+    limit: RequestRate,
+    seed: u64,
+    wants: impl Fn(u32, Timestamp) -> bool,
+) -> Vec<Timestamp> {
+    let mut random = SplitMix(seed);
+    let mut senders: Vec<_> = (0..count)
+        .map(|_| {
+            let senders = Senders {
+                count,
+                number: random.next(),
+            };
+            let mut state = RateLimit::default();
+            state.record_response(START, START, Some(limit), senders);
+            (state, senders)
+        })
+        .collect();
+    let mut sent = Vec::new();
+    let mut now = START;
+    while now.since(START) < DAY {
+        for (number, (state, senders)) in senders.iter_mut().enumerate() {
+            if wants(number as u32, now) && state.allows_request(now, *senders) {
+                state.record_request(now, *senders);
+                sent.push(now);
+            }
+        }
+        now = now + STEP;
+    }
+    sent
+}
+
+struct SplitMix(u64);
+
+impl SplitMix {
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+}
+
+fn most_in_window(sent: &[Timestamp]) -> usize {
+    let windows = sent.iter().enumerate().map(|(index, end)| {
+        let inside = sent[..=index].iter().rev();
+        inside.take_while(|at| end.since(**at) <= WINDOW).count()
+    });
+    windows.max().unwrap_or_default()
+}
+
+const LIMITS: [u64; 6] = [300, 1_000, 1_900, 2_600, 5_600, 50_000];
+const COUNTS: [u32; 5] = [1, 2, 6, 86, 294];
+
+#[test]
+fn senders_that_are_always_busy_keep_the_limit_together() {
+    for limit in LIMITS.map(RequestRate) {
+        for count in COUNTS {
+            for seed in 0..SEEDS {
+                let sent = sent_by(count, limit, seed, |_, _| true);
+                let most = most_in_window(&sent);
+                assert_that!(most, le(allowed(limit)), "{limit} {count} {seed}");
+            }
+        }
+    }
+}
+
+/// Guards against senders that save up slots and use them at the same moment.
+#[test]
+fn senders_that_become_busy_at_the_same_moment_keep_the_limit_together() {
+    for limit in LIMITS.map(RequestRate) {
+        for count in COUNTS {
+            for seed in 0..SEEDS {
+                let is_busy = |_, now: Timestamp| now.since(START) > DAY / 2;
+                let sent = sent_by(count, limit, seed, is_busy);
+                let most = most_in_window(&sent);
+                assert_that!(most, le(allowed(limit)), "{limit} {count} {seed}");
+            }
+        }
+    }
+}
+
+/// Guards against limits that are kept by sending nothing.
+#[test]
+fn busy_senders_use_at_least_half_of_the_limit() {
+    for limit in LIMITS.map(RequestRate) {
+        for count in COUNTS {
+            let runs = (0..SEEDS).map(|seed| sent_by(count, limit, seed, |_, _| true).len());
+            let sent = runs.sum::<usize>() as u64;
+            let expected = SEEDS * limit.0 * DAY.as_secs() / 1_000;
+            assert_that!(sent, ge(expected / 2), "{limit} {count}");
+        }
+    }
+}
+
+#[test]
+fn a_limit_ends_only_with_a_response_to_a_later_request() {
+    let mut state = RateLimit::default();
+    let later = START + WINDOW;
+    let limit = Some(RequestRate(1_000));
+    assert_that!(
+        state.record_response(START, START, limit, Senders::SINGLE),
+        eq(true)
+    );
+    assert_that!(
+        state.record_response(later, START, None, Senders::SINGLE),
+        eq(false)
+    );
+    assert_that!(state.rate(), eq(limit));
+    assert_that!(
+        state.record_response(later, later, None, Senders::SINGLE),
+        eq(true)
+    );
+    assert_that!(state.rate(), none());
+    assert_that!(state.allows_request(later, Senders::SINGLE), eq(true));
+}
+
+#[test]
+fn a_limit_of_zero_allows_no_request_and_names_no_time() {
+    let mut state = RateLimit::default();
+    state.record_response(START, START, Some(RequestRate(0)), Senders::SINGLE);
+    assert_that!(state.wait(START + DAY, Senders::SINGLE), none());
+}
+
+#[test]
+fn request_rates_are_read_from_decimal_numbers_only() {
+    for (text, rate) in [
+        ("2.6", 2_600),
+        ("0", 0),
+        ("300", 300_000),
+        ("1e30", u64::MAX),
+    ] {
+        assert_that!(text.parse::<RequestRate>(), ok(eq(RequestRate(rate))));
+    }
+    for text in ["", "-1", "nan", "inf", "1e999", "3 a second", "0x10"] {
+        assert_that!(text.parse::<RequestRate>(), err(anything()), "{text}");
+    }
+    assert_that!(RequestRate(2_600).to_string(), eq("2.600"));
+}
