Keep the rate limits that endpoints name, at gateways and at the leader

Endpoints in need named a limit and got as many requests as before, because nothing kept it: the class is a request of an endpoint that no sender obeys.

Each gateway keeps its even share of a limit without a leader, in slots that are lost when they are not used, so that hundreds of gateways that become busy at the same moment stay within it together. For models the leader places, so it keeps the whole limit; it is told with each response that names one, which needs no handover to a new leader. Requests that no endpoint takes in time are rejected at once, with the time until one does.

--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -294,7 +294,13 @@
             | GatewayMessage::ReportSoundRun { .. }
             | GatewayMessage::ReportSoundParts(_)
             | GatewayMessage::ReportSuspects(_)
+            | GatewayMessage::ReportRateLimit { .. }
                 if !inner.leads => {}
+            GatewayMessage::ReportRateLimit {
+                service,
+                endpoint,
+                max_rate,
+            } => inner.handle(now, &service, Event::Limited { endpoint, max_rate }),
             GatewayMessage::ReportLostRun {
                 service,
                 process,
--- a/crates/mimosa-gateway/src/plain.rs
+++ b/crates/mimosa-gateway/src/plain.rs
@@ -42,13 +42,13 @@
     let mut last = LastOutcome::NotAttempted;
     // A request that could not be sent reached no endpoint and does not count as an attempt.
     let mut attempts = 0;
+    let role = EndpointRole::Plain;
     while attempts < max_attempts && tried.len() < MAX_ENDPOINTS {
         let now = shared.now();
         if now >= request.deadline {
             break;
         }
         let endpoints = shared.directory.endpoints();
-        let role = EndpointRole::Plain;
         let Some(endpoint) =
             upstream::select_endpoint(shared, now, &endpoints, request, role, &tried)
         else {
@@ -58,7 +58,7 @@
         if let Err(failure) = allowed {
             return match last {
                 LastOutcome::NotAttempted => Err(failure),
-                _ => last.into_result(),
+                _ => last.into_result(BUSY_RETRY_AFTER),
             };
         }
         if attempts > 0 && !shared.take_retry(now, &request.service) {
@@ -93,7 +93,9 @@
             }
         }
     }
-    last.into_result()
+    let retry_after = upstream::time_to_endpoint(shared, shared.now(), request, role);
+    let retry_after = retry_after.unwrap_or_default().max(BUSY_RETRY_AFTER);
+    last.into_result(retry_after)
 }
 
 /// Logs a response of an endpoint with the data that determined the routing of the request.
@@ -139,20 +141,20 @@
         }
     }
 
-    fn into_result(self) -> Result<Response<Body>, Failure> {
+    fn into_result(self, retry_after: Duration) -> Result<Response<Body>, Failure> {
         match self {
             Self::Response(response) => Ok(response),
             Self::NotAttempted => Err(Failure::NotRun {
-                reason: "no endpoint",
-                retry_after: BUSY_RETRY_AFTER,
+                reason: "no endpoint takes a request now",
+                retry_after,
             }),
             Self::Failed(CallFailure::NotSent) => Err(Failure::NotRun {
                 reason: "an endpoint cannot be reached",
-                retry_after: BUSY_RETRY_AFTER,
+                retry_after,
             }),
             Self::Failed(CallFailure::NotRun) => Err(Failure::NotRun {
                 reason: "the endpoints have no room",
-                retry_after: BUSY_RETRY_AFTER,
+                retry_after,
             }),
             Self::Failed(CallFailure::Unknown(reason)) => Err(Failure::Lost(reason)),
             Self::Failed(CallFailure::TimedOut) => Err(Failure::TimedOut),
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -24,6 +24,7 @@
 use mimosa_protocol::ExecutionStatus;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::configuration::EndpointRole;
+use mimosa_route::message::GatewayMessage;
 use mimosa_schedule::cold::Pacing;
 use mimosa_schedule::pick::Candidate;
 use mimosa_schedule::pick::pick;
@@ -143,6 +144,7 @@
         .filter(|each| !shared.directory.is_out_of_service(&each.listed.data_centre))
         .filter(|each| !tried.iter().any(|other| other.listed.id == each.listed.id))
         .filter(|each| each.cold().allows_request(now, pacing))
+        .filter(|each| each.rate_limit().allows_request(now, shared.senders()))
         .collect();
     let candidates: Vec<_> = usable
         .iter()
@@ -150,9 +152,26 @@
         .collect();
     let selected = usable[pick(&candidates, shared.random())?];
     selected.cold().record_request(now, pacing);
+    selected.rate_limit().record_request(now, shared.senders());
     Some(Arc::clone(selected))
 }
 
+/// Shortest time after which an endpoint of the request's service and role takes a request from this
+/// gateway; `None` if none of them names a limit.
+pub(crate) fn time_to_endpoint(
+    shared: &Shared,
+    now: Timestamp,
+    request: &IdentifiedRequest,
+    role: EndpointRole,
+) -> Option<Duration> {
+    let endpoints = shared.directory.endpoints();
+    let active = endpoints.active(&request.service, role).iter();
+    let limited = active.filter(|each| each.rate_limit().rate().is_some());
+    limited
+        .filter_map(|each| each.rate_limit().wait(now, shared.senders()))
+        .min()
+}
+
 fn candidate(shared: &Shared, now: Timestamp, endpoint: &EndpointEntry) -> Candidate {
     let health = endpoint.health();
     let reported_load = endpoint
@@ -254,7 +273,8 @@
     let class = dialect.classify(attempt_id, &step, response.status(), response.headers());
     // Another endpoint may have taken over the address.
     if class != ResponseClass::Unverified && response.status() != StatusCode::MISDIRECTED_REQUEST {
-        record_advice(shared, endpoint, sent, &dialect.advice(response.headers()));
+        let advice = dialect.advice(response.headers());
+        record_advice(shared, request, endpoint, sent, &advice);
     }
     match class {
         ResponseClass::Verified => Ok(UpstreamResponse {
@@ -278,6 +298,7 @@
 /// Records what an endpoint asks of its senders.
 fn record_advice(
     shared: &Shared,
+    request: &IdentifiedRequest,
     endpoint: &EndpointEntry,
     sent: Timestamp,
     advice: &SenderAdvice,
@@ -287,6 +308,14 @@
         endpoint
             .rate_limit()
             .record_response(now, sent, advice.max_rate, shared.senders());
+    if endpoint.listed.role != EndpointRole::Plain && (is_changed || advice.max_rate.is_some()) {
+        let report = GatewayMessage::ReportRateLimit {
+            service: request.service.clone(),
+            endpoint: endpoint.listed.id.clone(),
+            max_rate: advice.max_rate,
+        };
+        shared.placement.send_to_leader(report);
+    }
     if is_changed {
         let id = &endpoint.listed.id;
         let gateways = shared.senders().count;
--- a/crates/mimosa-route/src/message.rs
+++ b/crates/mimosa-route/src/message.rs
@@ -9,7 +9,9 @@
 use mimosa_hold::quarantine::Fingerprint;
 use mimosa_protocol::AccountId;
 use mimosa_protocol::DataCentreId;
+use mimosa_protocol::EndpointId;
 use mimosa_protocol::InstanceId;
+use mimosa_protocol::RequestRate;
 use mimosa_protocol::ServiceId;
 use mimosa_protocol::Tokens;
 use mimosa_protocol::data;
@@ -127,6 +129,16 @@
         ReportSoundParts(Vec<(Fingerprint, Duration)>),
         /// The suspects that the gateway knows; sent to a new leader.
         ReportSuspects(Suspects),
+        /// An endpoint of a model named a rate limit, or no longer names it. Sent for each response that
+        /// names one, so that each leader knows it.
+        ReportRateLimit {
+            /// Service of the endpoint.
+            service: ServiceId,
+            /// Endpoint whose requests are limited.
+            endpoint: EndpointId,
+            /// Highest rate that it takes from all gateways together; `None` if it has no limit any more.
+            max_rate: Option<RequestRate>,
+        },
     }
 
     /// Messages from a control instance to a gateway.
--- a/crates/mimosa-schedule/src/fleet.rs
+++ b/crates/mimosa-schedule/src/fleet.rs
@@ -18,6 +18,7 @@
 
 use mimosa_protocol::EndpointId;
 use mimosa_protocol::InstanceId;
+use mimosa_protocol::RequestRate;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::configuration::EndpointRole;
 
@@ -49,6 +50,10 @@
 use self::forecast::MemoryLoad;
 use self::queue::QueuedRequest;
 
+/// Longest time after which clients are told to retry when all endpoints are limited. Limits change as
+/// endpoints recover.
+const MAX_LIMIT_DELAY: Duration = Duration::from_secs(5);
+
 /// A placed request that has not ended.
 #[derive(Clone, Debug)]
 struct Run {
@@ -185,6 +190,11 @@
             Event::Started { id } => self.on_started(now, &id),
             Event::Ended { id, end } => self.on_ended(now, &id, &end),
             Event::GatewayLost { gateway } => self.on_gateway_lost(now, &gateway),
+            Event::Limited { endpoint, max_rate } => {
+                if let Some(endpoint) = self.endpoints.get_mut(&endpoint) {
+                    endpoint.limit(now, max_rate);
+                }
+            }
             Event::Tick => {}
         }
         self.dispatch(now, &mut actions);
@@ -359,6 +369,7 @@
     /// after capacity was freed or after [`Settings::rescan_interval`].
     fn dispatch(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
         self.refuse_expired(now, actions);
+        self.refuse_beyond_limits(now, actions);
         if now < self.handover_until || self.queue.is_empty() {
             return;
         }
@@ -421,6 +432,31 @@
         });
     }
 
+    /// Refuses requests that cannot start before their deadline because all decode endpoints are
+    /// limited.
+    fn refuse_beyond_limits(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        let decodes = self.endpoints.values().filter(|each| each.is_decode());
+        let limits: Option<Vec<_>> = decodes.map(|each| each.max_rate(now)).collect();
+        let Some(limits) = limits.filter(|limits| !limits.is_empty()) else {
+            return;
+        };
+        let total = limits.iter().fold(RequestRate::default(), |sum, limit| {
+            RequestRate(sum.0.saturating_add(limit.0))
+        });
+        let time_for =
+            |requests: usize| total.time_for(u64::try_from(requests).unwrap_or(u64::MAX));
+        let backoff = self.settings.no_capacity_backoff;
+        let retry_after = time_for(self.queue.len())
+            .map_or(MAX_LIMIT_DELAY, |time| time.clamp(backoff, MAX_LIMIT_DELAY));
+        let mut index = 0;
+        self.refuse_unless(actions, retry_after, |each| {
+            let start = time_for(index).map(|time| now + time);
+            let keeps = start.is_some_and(|start| start <= each.refuse_at);
+            index += usize::from(keeps);
+            keeps
+        });
+    }
+
     /// Refuses the queued requests for which `keeps` returns false.
     fn refuse_unless(
         &mut self,
--- a/crates/mimosa-schedule/src/fleet/endpoint.rs
+++ b/crates/mimosa-schedule/src/fleet/endpoint.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use mimosa_protocol::DataCentreId;
+use mimosa_protocol::RequestRate;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::configuration::EndpointRole;
 
@@ -11,12 +12,18 @@
 use super::forecast::MemoryLoad;
 use crate::cold::ColdStart;
 use crate::cold::Pacing;
+use crate::rate_limit::RateLimit;
+use crate::rate_limit::Senders;
 
 /// Initial backoff after a failure; doubles with each further failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(300);
 /// Maximum backoff, which is the longest time that a recovered endpoint stays without requests.
 const MAX_BACKOFF: Duration = Duration::from_secs(3);
 
+/// Time for which a limit holds after it was named. Every response names it while it is in force, so
+/// without one the endpoint is not used, or it has no limit any more.
+const LIMIT_TIME: Duration = Duration::from_secs(10);
+
 /// An endpoint, the requests placed there and its backoff.
 #[derive(Debug, Default)]
 pub(super) struct FleetEndpoint {
@@ -30,6 +37,9 @@
     prefills: BTreeMap<GatewayRequestId, PendingPrefill>,
     /// End of the backoff after a failure.
     backoff_until: Timestamp,
+    rate_limit: RateLimit,
+    /// When the limit ends unless a response names it again.
+    limit_until: Timestamp,
     consecutive_failures: u32,
 }
 
@@ -92,7 +102,31 @@
 
     /// Whether the endpoint is in no backoff after a failure and its cold start allows a request.
     pub(super) fn accepts_work(&self, now: Timestamp, pacing: Pacing) -> bool {
-        self.cold.allows_request(now, pacing) && now >= self.backoff_until
+        let is_limited = self.max_rate(now).is_some();
+        let exceeds_limit = is_limited && !self.rate_limit.allows_request(now, Senders::SINGLE);
+        self.cold.allows_request(now, pacing) && now >= self.backoff_until && !exceeds_limit
+    }
+
+    /// Limits the rate of requests until [`LIMIT_TIME`] after the last response that names a limit, or
+    /// ends the limit.
+    pub(super) fn limit(&mut self, now: Timestamp, max_rate: Option<RequestRate>) {
+        if max_rate.is_none() || self.max_rate(now).is_none() {
+            self.rate_limit = RateLimit::default();
+        }
+        self.rate_limit
+            .record_response(now, now, max_rate, Senders::SINGLE);
+        self.limit_until = now + LIMIT_TIME;
+    }
+
+    /// The rate limit in force; `None` without one.
+    pub(super) fn max_rate(&self, now: Timestamp) -> Option<RequestRate> {
+        self.rate_limit.rate().filter(|_| now < self.limit_until)
+    }
+
+    /// Records that a request was placed here.
+    pub(super) fn record_request(&mut self, now: Timestamp, pacing: Pacing) {
+        self.cold.record_request(now, pacing);
+        self.rate_limit.record_request(now, Senders::SINGLE);
     }
 
     /// Records a failure and starts a backoff, which doubles with each consecutive failure.
@@ -125,7 +159,7 @@
             is_measurable: self.prefills.is_empty(),
         };
         self.prefills.insert(id.clone(), prefill);
-        self.cold.record_request(now, pacing);
+        self.record_request(now, pacing);
         prefill.processed_at
     }
 
--- a/crates/mimosa-schedule/src/fleet/message.rs
+++ b/crates/mimosa-schedule/src/fleet/message.rs
@@ -6,6 +6,7 @@
 use mimosa_protocol::DataCentreId;
 use mimosa_protocol::EndpointId;
 use mimosa_protocol::InstanceId;
+use mimosa_protocol::RequestRate;
 use mimosa_protocol::Tokens;
 use mimosa_protocol::data;
 
@@ -144,6 +145,13 @@
         /// Gateway whose requests are removed.
         gateway: InstanceId,
     },
+    /// An endpoint named the rate that it takes from all gateways together, or no longer names it.
+    Limited {
+        /// Endpoint whose requests are limited; an unknown one is ignored.
+        endpoint: EndpointId,
+        /// Highest rate of placements there; `None` if they are not limited.
+        max_rate: Option<RequestRate>,
+    },
     /// Timer event, requested through `next_wake`.
     Tick,
 }
@@ -155,6 +163,7 @@
             Self::Configure(_) | Self::Prefilled { .. } | Self::Ended { .. } => true,
             Self::GatewayLost { .. } => true,
             Self::Submit(_) | Self::Adopt(_) | Self::Started { .. } | Self::Tick => false,
+            Self::Limited { max_rate, .. } => max_rate.is_none(),
         }
     }
 }
--- a/crates/mimosa-schedule/src/fleet/placing.rs
+++ b/crates/mimosa-schedule/src/fleet/placing.rs
@@ -223,7 +223,10 @@
         let load = self.estimates.memory_load(&request, decode_start);
         if let Some(endpoint) = self.endpoints.get_mut(&placement.decode) {
             endpoint.loads.insert(id.clone(), load);
-            endpoint.cold.record_request(now, pacing);
+            // The prompt at the same endpoint is the same request.
+            if &placement.decode != prompt_endpoint || request.kv_cache_at.is_some() {
+                endpoint.record_request(now, pacing);
+            }
         }
         let run = Run {
             request,
--- a/crates/mimosa-schedule/src/rate_limit.rs
+++ b/crates/mimosa-schedule/src/rate_limit.rs
@@ -18,8 +18,8 @@
 const TOLERATED_EXCESS: f64 = 5.0;
 /// Standard deviations between the expected and the tolerated number of requests.
 const DEVIATIONS: f64 = 6.0;
-/// Microseconds in the 1,000 s of a [`RequestRate`].
-const KILOSECOND_MICROS: u64 = 1_000_000_000;
+/// Shortest time between two slots, the resolution of a [`Timestamp`].
+const MIN_INTERVAL: Duration = Duration::from_micros(1);
 
 /// The senders that share the limit of an endpoint, as seen by one of them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,12 +39,9 @@
 
     /// Time between two slots of one sender; `None` if it has none.
     fn interval(self, limit: RequestRate) -> Option<Duration> {
-        let rate = self.usable_rate(limit);
-        let senders = u64::from(self.count.max(1));
-        let micros = KILOSECOND_MICROS
-            .saturating_mul(senders)
-            .checked_div(rate.0)?;
-        Some(Duration::from_micros(micros.max(1)))
+        let usable = self.usable_rate(limit);
+        let interval = usable.time_for(u64::from(self.count.max(1)))?;
+        Some(interval.max(MIN_INTERVAL))
     }
 
     /// Part of a limit that all senders use together. Their slots fall at random times, so some spans
