Send nothing more to endpoints that say they leave

A gateway remembers it for the lifetime of the process, also without a leader and while the list loses the endpoint for a moment. It names such endpoints in its requests to the leader, which never places there for this gateway, and asks again if a placement was decided before.

--- a/crates/mimosa-control/tests/dispatch.rs
+++ b/crates/mimosa-control/tests/dispatch.rs
@@ -218,6 +218,7 @@
             time_to_timeout: Duration::from_secs(60),
             data_centre: "north".parse().unwrap(),
             avoid: Vec::new(),
+            exclude: Vec::new(),
             kv_cache_at: None,
         };
         let service = "verse".parse().unwrap();
--- a/crates/mimosa-gateway/src/dialect.rs
+++ b/crates/mimosa-gateway/src/dialect.rs
@@ -117,6 +117,8 @@
 pub struct SenderAdvice {
     /// Highest rate at which all senders together may send requests, until a response names none.
     pub max_rate: Option<RequestRate>,
+    /// Whether the endpoint is about to stop and wants no further requests.
+    pub is_leaving: bool,
 }
 
 /// Reads and writes the header and body conventions of clients and endpoints.
--- a/crates/mimosa-gateway/src/directory.rs
+++ b/crates/mimosa-gateway/src/directory.rs
@@ -3,10 +3,12 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -47,9 +49,38 @@
     table: ArcSwapOption<RouteTable>,
     endpoints: ArcSwap<EndpointSet>,
     data_centres_out: ArcSwap<BTreeSet<DataCentreId>>,
+    left: Mutex<LeftEndpoints>,
     sync_state: Mutex<SyncState>,
 }
 
+/// Endpoints that were leaving when they vanished from the list, which may show them again for a
+/// while. Oldest first.
+#[derive(Default)]
+struct LeftEndpoints(VecDeque<ListedEndpoint>);
+
+impl LeftEndpoints {
+    /// Endpoints kept; beyond it the oldest is dropped.
+    const MAX: usize = 256;
+
+    fn add(&mut self, listed: ListedEndpoint) {
+        if self.0.len() >= Self::MAX {
+            self.0.pop_front();
+        }
+        self.0.push_back(listed);
+    }
+
+    fn contains(&self, listed: &ListedEndpoint) -> bool {
+        self.0
+            .iter()
+            .any(|left| left.id == listed.id && is_same_lifetime(left, listed))
+    }
+}
+
+/// Whether two entries of the list with the same identifier mean the same process.
+fn is_same_lifetime(one: &ListedEndpoint, other: &ListedEndpoint) -> bool {
+    one.started_at_ms == other.started_at_ms && one.address == other.address
+}
+
 /// State that orders updates from different control instances.
 #[derive(Default)]
 struct SyncState {
@@ -93,6 +124,8 @@
     reported_load: Mutex<Option<(Timestamp, ReportedLoad)>>,
     /// The rate limit that the endpoint names for all gateways together.
     rate_limit: Mutex<RateLimit>,
+    /// Whether the endpoint said that it is about to stop. Never cleared in its lifetime.
+    is_leaving: AtomicBool,
 }
 
 impl EndpointEntry {
@@ -104,6 +137,16 @@
         self.cold.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records that the endpoint wants no further requests. Returns whether that was unknown.
+    pub(crate) fn set_leaving(&self) -> bool {
+        !self.is_leaving.swap(true, Ordering::Relaxed)
+    }
+
+    /// Whether the endpoint takes requests of this gateway, whatever its rate limit.
+    pub(crate) fn accepts_requests(&self) -> bool {
+        !self.is_leaving.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn rate_limit(&self) -> MutexGuard<'_, RateLimit> {
         self.rate_limit
             .lock()
@@ -148,6 +191,7 @@
             table: ArcSwapOption::empty(),
             endpoints: ArcSwap::default(),
             data_centres_out: ArcSwap::default(),
+            left: Mutex::default(),
             sync_state: Mutex::default(),
         }
     }
@@ -302,11 +346,18 @@
             let current = by_id.get(&listed.id);
             if current.is_none_or(|current| !current.is_unchanged(now, listed)) {
                 let entry = EndpointEntry::new(now, listed, current.map(AsRef::as_ref));
+                if self.left().contains(listed) {
+                    entry.set_leaving();
+                }
                 by_id.insert(listed.id.clone(), Arc::new(entry));
             }
         }
         for id in removed {
-            by_id.remove(id);
+            if let Some(entry) = by_id.remove(id)
+                && !entry.accepts_requests()
+            {
+                self.left().add(entry.listed.clone());
+            }
             info!(
                 "endpoint={id} state=gone sequence={}",
                 sync_state.tracker.sequence()
@@ -315,6 +366,10 @@
         self.endpoints.store(Arc::new(EndpointSet::new(by_id)));
     }
 
+    fn left(&self) -> MutexGuard<'_, LeftEndpoints> {
+        self.left.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn version(&self) -> Option<DocumentVersion> {
         let table = self.table.load();
         table.as_ref().map(|table| table.configuration().version)
@@ -368,6 +423,7 @@
         self.by_id
             .get(id)
             .filter(|entry| entry.listed.state == EndpointState::Active)
+            .filter(|entry| entry.accepts_requests())
     }
 
     /// The endpoints of a service and role that accept new work.
@@ -400,10 +456,7 @@
             listed.state,
             listed.cold_remaining.as_millis()
         );
-        let previous = current.filter(|current| {
-            current.listed.started_at_ms == listed.started_at_ms
-                && current.listed.address == listed.address
-        });
+        let previous = current.filter(|current| is_same_lifetime(&current.listed, listed));
         let mut cold = previous
             .map(|previous| *previous.cold())
             .unwrap_or_default();
@@ -424,6 +477,9 @@
             rate_limit: Mutex::new(
                 previous.map_or_else(RateLimit::default, |previous| *previous.rate_limit()),
             ),
+            is_leaving: AtomicBool::new(
+                previous.is_some_and(|previous| previous.is_leaving.load(Ordering::Relaxed)),
+            ),
         }
     }
 }
--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -276,58 +276,81 @@
     }
 }
 
-/// Places a request: the leader decides, or this gateway if no leader responds.
+/// Places a request: the leader decides, or this gateway if no leader responds. The leader decides
+/// again if an endpoint is gone or takes no requests of this gateway any more.
 async fn place(
     shared: &Arc<Shared>,
     request: &IdentifiedRequest,
     attempts: &Attempts,
 ) -> Result<Assignment, Failure> {
-    let outcome = shared
-        .placement
-        .request(
-            || shared.now(),
-            &request.service,
-            |now, number| placement_request(shared, request, attempts, now, number),
-        )
-        .await;
-    let endpoints = shared.directory.endpoints();
-    match outcome {
-        PlacementOutcome::Placed(run) => {
-            let decode = endpoints.get(&run.placement.decode).cloned();
-            let prefill = match &run.placement.prefill {
-                Some(id) => Some(endpoints.get(id).cloned().ok_or_else(endpoint_gone)?),
-                None => None,
-            };
-            info!(
-                "request={} step=place outcome=placed prefill={} decode={} waited_ms={}",
-                request.metadata.attempt_id,
-                run.placement
-                    .prefill
-                    .as_ref()
-                    .map_or("none", EndpointId::as_str),
-                run.placement.decode,
-                shared.now().since(request.arrived).as_millis()
-            );
-            let waited = shared.now().since(request.arrived);
-            shared
-                .metrics
-                .record_placement(request.service.as_str(), "leader", waited);
-            Ok(Assignment {
-                prefill,
-                decode: decode.ok_or_else(endpoint_gone)?,
-                run,
-            })
-        }
-        PlacementOutcome::Rejected(cause, retry_after) => {
-            info!(
-                "request={} step=place outcome={cause:?} retry_after_ms={}",
-                request.metadata.attempt_id,
-                retry_after.as_millis()
-            );
-            Err(rejection(cause, retry_after))
+    for _ in 0..MAX_PLACEMENTS {
+        let outcome = shared
+            .placement
+            .request(
+                || shared.now(),
+                &request.service,
+                |now, number| placement_request(shared, request, attempts, now, number),
+            )
+            .await;
+        let endpoints = shared.directory.endpoints();
+        match outcome {
+            PlacementOutcome::Placed(run) => {
+                if let Some(assignment) = assign(shared, request, &endpoints, run) {
+                    return Ok(assignment);
+                }
+            }
+            PlacementOutcome::Rejected(cause, retry_after) => {
+                info!(
+                    "request={} step=place outcome={cause:?} retry_after_ms={}",
+                    request.metadata.attempt_id,
+                    retry_after.as_millis()
+                );
+                return Err(rejection(cause, retry_after));
+            }
+            PlacementOutcome::NoLeader => {
+                return place_locally(shared, request, &endpoints, attempts);
+            }
         }
-        PlacementOutcome::NoLeader => place_locally(shared, request, &endpoints, attempts),
     }
+    Err(not_run("the endpoint is gone"))
+}
+
+/// The endpoints that the leader selected; `None` if one of them takes no request any more.
+fn assign(
+    shared: &Shared,
+    request: &IdentifiedRequest,
+    endpoints: &EndpointSet,
+    run: PlacedRun,
+) -> Option<Assignment> {
+    let Placement { prefill, decode } = &run.placement;
+    let waited = shared.now().since(request.arrived);
+    let decode_endpoint = endpoints.get(decode).cloned();
+    let prefill_endpoint = prefill.as_ref().map(|id| endpoints.get(id).cloned());
+    let is_available =
+        decode_endpoint.is_some() && !prefill_endpoint.as_ref().is_some_and(Option::is_none);
+    info!(
+        "request={} step=place outcome={} prefill={} decode={decode} waited_ms={}",
+        request.metadata.attempt_id,
+        if is_available {
+            "placed"
+        } else {
+            "endpoint_gone"
+        },
+        prefill.as_ref().map_or("none", EndpointId::as_str),
+        waited.as_millis()
+    );
+    if !is_available {
+        run.end(RunEnd::NoCapacity);
+        return None;
+    }
+    shared
+        .metrics
+        .record_placement(request.service.as_str(), "leader", waited);
+    Some(Assignment {
+        prefill: prefill_endpoint.flatten(),
+        decode: decode_endpoint?,
+        run,
+    })
 }
 
 fn place_locally(
@@ -420,6 +443,7 @@
             .iter()
             .map(|each| each.listed.id.clone())
             .collect(),
+        exclude: excluded_endpoints(shared, request),
         kv_cache_at: attempts
             .kv_cache
             .as_ref()
@@ -427,6 +451,18 @@
     }
 }
 
+/// Endpoints of the request's service that take no requests of this gateway.
+fn excluded_endpoints(shared: &Shared, request: &IdentifiedRequest) -> Vec<EndpointId> {
+    let endpoints = shared.directory.endpoints();
+    let roles = [EndpointRole::Prefill, EndpointRole::Decode];
+    let active = roles.map(|role| endpoints.active(&request.service, role));
+    let excluded = active
+        .iter()
+        .flat_map(|each| each.iter())
+        .filter(|each| !each.accepts_requests());
+    excluded.map(|each| each.listed.id.clone()).collect()
+}
+
 /// Time for which clients wait for the first event of a stream.
 fn first_event_timeout(route: &Route) -> Duration {
     /// Minimum time for which clients wait.
@@ -441,10 +477,6 @@
         .max(gap)
 }
 
-const fn endpoint_gone() -> Failure {
-    not_run("the endpoint is gone")
-}
-
 /// Runs the prefill and reports its duration to the leader.
 async fn prefill(
     shared: &Arc<Shared>,
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -143,6 +143,7 @@
         .iter()
         .filter(|each| !shared.directory.is_out_of_service(&each.listed.data_centre))
         .filter(|each| !tried.iter().any(|other| other.listed.id == each.listed.id))
+        .filter(|each| each.accepts_requests())
         .filter(|each| each.cold().allows_request(now, pacing))
         .filter(|each| each.rate_limit().allows_request(now, shared.senders()))
         .collect();
@@ -166,7 +167,8 @@
 ) -> Option<Duration> {
     let endpoints = shared.directory.endpoints();
     let active = endpoints.active(&request.service, role).iter();
-    let limited = active.filter(|each| each.rate_limit().rate().is_some());
+    let accepting = active.filter(|each| each.accepts_requests());
+    let limited = accepting.filter(|each| each.rate_limit().rate().is_some());
     limited
         .filter_map(|each| each.rate_limit().wait(now, shared.senders()))
         .min()
@@ -304,6 +306,9 @@
     advice: &SenderAdvice,
 ) {
     let now = shared.now();
+    if advice.is_leaving && endpoint.set_leaving() {
+        info!("endpoint={} state=leaving", endpoint.listed.id);
+    }
     let is_changed =
         endpoint
             .rate_limit()
--- a/crates/mimosa-schedule/src/fleet.rs
+++ b/crates/mimosa-schedule/src/fleet.rs
@@ -247,7 +247,10 @@
 
     fn submit(&mut self, now: Timestamp, request: PlacementRequest, actions: &mut Vec<Action>) {
         let id = request.id.clone();
-        if self.is_configured && !self.endpoints.values().any(FleetEndpoint::is_decode) {
+        let mut endpoints = self.endpoints.iter();
+        let has_decode =
+            endpoints.any(|(id, each)| each.is_decode() && !request.exclude.contains(id));
+        if self.is_configured && !has_decode {
             return actions.push(Action::Refuse {
                 id,
                 reason: PlacementRefusal::NoEndpoint,
--- a/crates/mimosa-schedule/src/fleet/message.rs
+++ b/crates/mimosa-schedule/src/fleet/message.rs
@@ -46,6 +46,8 @@
         pub data_centre: DataCentreId,
         /// Endpoints at which the request failed or found no capacity. Others are preferred.
         pub avoid: Vec<EndpointId>,
+        /// Endpoints that take no requests of the gateway, and are never selected.
+        pub exclude: Vec<EndpointId>,
         /// Endpoint that already holds the KV cache, if the prompt was processed before a failed
         /// decode.
         pub kv_cache_at: Option<EndpointId>,
--- a/crates/mimosa-schedule/src/fleet/placing.rs
+++ b/crates/mimosa-schedule/src/fleet/placing.rs
@@ -135,9 +135,12 @@
             .filter(move |(.., free_at)| *free_at <= limit)
     }
 
-    /// Whether to avoid an endpoint because the request failed there. Endpoints are not avoided if
-    /// the request failed at all endpoints of their role.
+    /// Whether to avoid an endpoint, because it takes no requests of the gateway or the request failed
+    /// there. Endpoints where it failed are not avoided if it failed at all endpoints of their role.
     fn avoids(&self, request: &PlacementRequest, id: &EndpointId) -> bool {
+        if request.exclude.contains(id) {
+            return true;
+        }
         if !request.avoid.contains(id) {
             return false;
         }
@@ -146,7 +149,7 @@
             .endpoints
             .iter()
             .filter(|(_, each)| Some(each.role) == role);
-        alike.any(|(other, _)| !request.avoid.contains(other))
+        alike.any(|(other, _)| !request.avoid.contains(other) && !request.exclude.contains(other))
     }
 
     /// Selects the decode endpoint with the lowest forecast peak among those with enough memory.
--- a/crates/mimosa-schedule/tests/fleet.rs
+++ b/crates/mimosa-schedule/tests/fleet.rs
@@ -193,6 +193,7 @@
     for number in 1..=6 {
         let retry = PlacementRequest {
             avoid: avoid.clone(),
+            exclude: Vec::new(),
             ..request(number, 5_000, 400)
         };
         let now = START + Duration::from_secs(number);
--- a/crates/mimosa-schedule/tests/fleet/simulation.rs
+++ b/crates/mimosa-schedule/tests/fleet/simulation.rs
@@ -65,6 +65,7 @@
         time_to_timeout: Duration::from_millis(3_600),
         data_centre: "north".parse().unwrap(),
         avoid: Vec::new(),
+        exclude: Vec::new(),
         kv_cache_at: None,
     }
 }
