Leave endpoints alone for the pause that they ask a gateway for

A gateway keeps the pause by itself, so it holds without a leader as well, names paused endpoints in its requests to the leader, and tells callers when the first endpoint takes requests again if all of them pause.

--- a/crates/mimosa-gateway/src/dialect.rs
+++ b/crates/mimosa-gateway/src/dialect.rs
@@ -119,6 +119,8 @@
     pub max_rate: Option<RequestRate>,
     /// Whether the endpoint is about to stop and wants no further requests.
     pub is_leaving: bool,
+    /// Time for which the endpoint, which declined the request, wants none of this sender.
+    pub pause: Option<Duration>,
 }
 
 /// Reads and writes the header and body conventions of clients and endpoints.
@@ -144,7 +146,7 @@
     fn reported_load(&self, headers: &HeaderMap) -> Option<ReportedLoad>;
 
     /// What the endpoint asks of its senders in a response.
-    fn advice(&self, headers: &HeaderMap) -> SenderAdvice;
+    fn advice(&self, status: StatusCode, headers: &HeaderMap) -> SenderAdvice;
 
     /// Identifier of the last stream event that the client already has; `None` if the stream starts
     /// from the beginning.
--- a/crates/mimosa-gateway/src/directory.rs
+++ b/crates/mimosa-gateway/src/directory.rs
@@ -10,6 +10,7 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -126,6 +127,8 @@
     rate_limit: Mutex<RateLimit>,
     /// Whether the endpoint said that it is about to stop. Never cleared in its lifetime.
     is_leaving: AtomicBool,
+    /// End of the pause that the endpoint asked this gateway for, in microseconds.
+    paused_until_us: AtomicU64,
 }
 
 impl EndpointEntry {
@@ -142,9 +145,25 @@
         !self.is_leaving.swap(true, Ordering::Relaxed)
     }
 
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+
+    /// Records that the endpoint wants no requests of this gateway until a time. Responses overtake
+    /// each other, so the latest time holds.
+    pub(crate) fn pause_until(&self, until: Timestamp) {
+        self.paused_until_us
+            .fetch_max(until.as_micros(), Ordering::Relaxed);
+    }
+
+    /// End of the pause that the endpoint asked this gateway for.
+    pub(crate) fn paused_until(&self) -> Timestamp {
+        Timestamp(self.paused_until_us.load(Ordering::Relaxed))
+    }
+
     /// Whether the endpoint takes requests of this gateway, whatever its rate limit.
-    pub(crate) fn accepts_requests(&self) -> bool {
-        !self.is_leaving.load(Ordering::Relaxed)
+    pub(crate) fn accepts_requests(&self, now: Timestamp) -> bool {
+        !self.is_leaving() && now >= self.paused_until()
     }
 
     pub(crate) fn rate_limit(&self) -> MutexGuard<'_, RateLimit> {
@@ -354,7 +373,7 @@
         }
         for id in removed {
             if let Some(entry) = by_id.remove(id)
-                && !entry.accepts_requests()
+                && entry.is_leaving()
             {
                 self.left().add(entry.listed.clone());
             }
@@ -423,7 +442,7 @@
         self.by_id
             .get(id)
             .filter(|entry| entry.listed.state == EndpointState::Active)
-            .filter(|entry| entry.accepts_requests())
+            .filter(|entry| !entry.is_leaving())
     }
 
     /// The endpoints of a service and role that accept new work.
@@ -477,8 +496,9 @@
             rate_limit: Mutex::new(
                 previous.map_or_else(RateLimit::default, |previous| *previous.rate_limit()),
             ),
-            is_leaving: AtomicBool::new(
-                previous.is_some_and(|previous| previous.is_leaving.load(Ordering::Relaxed)),
+            is_leaving: AtomicBool::new(previous.is_some_and(|previous| previous.is_leaving())),
+            paused_until_us: AtomicU64::new(
+                previous.map_or(0, |previous| previous.paused_until().as_micros()),
             ),
         }
     }
--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -300,6 +300,13 @@
                 }
             }
             PlacementOutcome::Rejected(cause, retry_after) => {
+                let role = EndpointRole::Decode;
+                let wait = upstream::time_to_endpoint(shared, shared.now(), request, role);
+                // The leader does not know how long endpoints that this gateway excludes want a pause.
+                let retry_after = match cause {
+                    PlacementRefusal::NoEndpoint => wait.unwrap_or_default().max(retry_after),
+                    _ => retry_after,
+                };
                 info!(
                     "request={} step=place outcome={cause:?} retry_after_ms={}",
                     request.metadata.attempt_id,
@@ -323,9 +330,14 @@
     run: PlacedRun,
 ) -> Option<Assignment> {
     let Placement { prefill, decode } = &run.placement;
-    let waited = shared.now().since(request.arrived);
-    let decode_endpoint = endpoints.get(decode).cloned();
-    let prefill_endpoint = prefill.as_ref().map(|id| endpoints.get(id).cloned());
+    let now = shared.now();
+    let waited = now.since(request.arrived);
+    let available = |id| {
+        let endpoint = endpoints.get(id)?;
+        endpoint.accepts_requests(now).then(|| Arc::clone(endpoint))
+    };
+    let decode_endpoint = available(decode);
+    let prefill_endpoint = prefill.as_ref().map(available);
     let is_available =
         decode_endpoint.is_some() && !prefill_endpoint.as_ref().is_some_and(Option::is_none);
     info!(
@@ -443,7 +455,7 @@
             .iter()
             .map(|each| each.listed.id.clone())
             .collect(),
-        exclude: excluded_endpoints(shared, request),
+        exclude: excluded_endpoints(shared, now, request),
         kv_cache_at: attempts
             .kv_cache
             .as_ref()
@@ -452,14 +464,18 @@
 }
 
 /// Endpoints of the request's service that take no requests of this gateway.
-fn excluded_endpoints(shared: &Shared, request: &IdentifiedRequest) -> Vec<EndpointId> {
+fn excluded_endpoints(
+    shared: &Shared,
+    now: Timestamp,
+    request: &IdentifiedRequest,
+) -> Vec<EndpointId> {
     let endpoints = shared.directory.endpoints();
     let roles = [EndpointRole::Prefill, EndpointRole::Decode];
     let active = roles.map(|role| endpoints.active(&request.service, role));
     let excluded = active
         .iter()
         .flat_map(|each| each.iter())
-        .filter(|each| !each.accepts_requests());
+        .filter(|each| !each.accepts_requests(now));
     excluded.map(|each| each.listed.id.clone()).collect()
 }
 
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -143,7 +143,7 @@
         .iter()
         .filter(|each| !shared.directory.is_out_of_service(&each.listed.data_centre))
         .filter(|each| !tried.iter().any(|other| other.listed.id == each.listed.id))
-        .filter(|each| each.accepts_requests())
+        .filter(|each| each.accepts_requests(now))
         .filter(|each| each.cold().allows_request(now, pacing))
         .filter(|each| each.rate_limit().allows_request(now, shared.senders()))
         .collect();
@@ -158,7 +158,7 @@
 }
 
 /// Shortest time after which an endpoint of the request's service and role takes a request from this
-/// gateway; `None` if none of them names a limit.
+/// gateway; `None` if none of them asked for fewer.
 pub(crate) fn time_to_endpoint(
     shared: &Shared,
     now: Timestamp,
@@ -167,11 +167,13 @@
 ) -> Option<Duration> {
     let endpoints = shared.directory.endpoints();
     let active = endpoints.active(&request.service, role).iter();
-    let accepting = active.filter(|each| each.accepts_requests());
-    let limited = accepting.filter(|each| each.rate_limit().rate().is_some());
-    limited
-        .filter_map(|each| each.rate_limit().wait(now, shared.senders()))
-        .min()
+    let waits = active.filter(|each| !each.is_leaving()).filter_map(|each| {
+        let limit = each.rate_limit();
+        let wait = limit.wait(now, shared.senders())?;
+        let pause = each.paused_until().since(now);
+        (limit.rate().is_some() || !pause.is_zero()).then_some(wait.max(pause))
+    });
+    waits.min()
 }
 
 fn candidate(shared: &Shared, now: Timestamp, endpoint: &EndpointEntry) -> Candidate {
@@ -275,7 +277,7 @@
     let class = dialect.classify(attempt_id, &step, response.status(), response.headers());
     // Another endpoint may have taken over the address.
     if class != ResponseClass::Unverified && response.status() != StatusCode::MISDIRECTED_REQUEST {
-        let advice = dialect.advice(response.headers());
+        let advice = dialect.advice(response.status(), response.headers());
         record_advice(shared, request, endpoint, sent, &advice);
     }
     match class {
@@ -309,6 +311,14 @@
     if advice.is_leaving && endpoint.set_leaving() {
         info!("endpoint={} state=leaving", endpoint.listed.id);
     }
+    if let Some(pause) = advice.pause {
+        endpoint.pause_until(now + pause);
+        info!(
+            "endpoint={} state=paused for_ms={}",
+            endpoint.listed.id,
+            pause.as_millis()
+        );
+    }
     let is_changed =
         endpoint
             .rate_limit()
