Take a refusal for one of this request only if it names the request

Gateways looked at the refusal before the attempt id, so callers were told that the request had not run, and requests went to a second endpoint.

A refusal now counts only with the id of the attempt, or without any as the first response of a connection, which cannot hold an earlier one.

--- a/crates/mimosa-gateway/src/connection.rs
+++ b/crates/mimosa-gateway/src/connection.rs
@@ -60,6 +60,8 @@
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    /// Whether no request was sent on it yet.
+    is_new: bool,
     idle_since: Timestamp,
     idle_timeout: Duration,
 }
@@ -188,6 +190,7 @@
         Ok(Self {
             sender,
             task,
+            is_new: true,
             idle_since: Timestamp::ZERO,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
         })
@@ -198,6 +201,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> hyper::Result<Response<Incoming>> {
+        self.is_new = false;
         let response = self.sender.send_request(request).await?;
         if let Some(time) = keep_alive_timeout(response.headers()) {
             self.idle_timeout = time * KEEP_ALIVE_TENTHS / 10;
@@ -205,6 +209,10 @@
         Ok(response)
     }
 
+    pub(crate) const fn is_new(&self) -> bool {
+        self.is_new
+    }
+
     fn is_usable(&self, now: Timestamp) -> bool {
         !self.sender.is_closed() && now.since(self.idle_since) < self.idle_timeout
     }
--- a/crates/mimosa-gateway/src/dialect.rs
+++ b/crates/mimosa-gateway/src/dialect.rs
@@ -92,6 +92,18 @@
     pub handle: String,
 }
 
+/// A call whose response has arrived.
+#[derive(Clone, Copy, Debug)]
+pub struct SentCall<'a> {
+    /// The client's attempt identifier, which endpoints echo.
+    pub attempt: &'a str,
+    /// Part of the request's work that was requested.
+    pub step: &'a Step,
+    /// Whether it was the first call on its connection, so that the response cannot belong to an
+    /// earlier one.
+    pub is_first: bool,
+}
+
 /// Classification of a response by its status and headers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseClass {
@@ -132,12 +144,10 @@
     /// those of the call.
     fn rewrite_headers(&self, headers: &mut HeaderMap, call: &OutgoingCall<'_>);
 
-    /// Classifies the response to a call. `attempt` is the client's attempt identifier, which
-    /// endpoints echo.
+    /// Classifies the response to a call.
     fn classify(
         &self,
-        attempt: &str,
-        step: &Step,
+        call: &SentCall<'_>,
         status: StatusCode,
         headers: &HeaderMap,
     ) -> ResponseClass;
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -35,6 +35,7 @@
 use crate::dialect::OutgoingCall;
 use crate::dialect::ResponseClass;
 use crate::dialect::SenderAdvice;
+use crate::dialect::SentCall;
 use crate::dialect::Step;
 use crate::directory::EndpointEntry;
 use crate::directory::EndpointSet;
@@ -246,6 +247,7 @@
         }
         Err(PoolError::LimitReached) => return Err(CallFailure::NotSent),
     };
+    let is_first = connection.is_new();
     let sent = shared.now();
     let outgoing = outgoing(
         shared,
@@ -273,8 +275,12 @@
     if let Some(load) = dialect.reported_load(response.headers()) {
         endpoint.set_reported_load(now, load);
     }
-    let attempt_id = &request.metadata.attempt_id;
-    let class = dialect.classify(attempt_id, &step, response.status(), response.headers());
+    let call = SentCall {
+        attempt: &request.metadata.attempt_id,
+        step: &step,
+        is_first,
+    };
+    let class = dialect.classify(&call, response.status(), response.headers());
     // Another endpoint may have taken over the address.
     if class != ResponseClass::Unverified && response.status() != StatusCode::MISDIRECTED_REQUEST {
         let advice = dialect.advice(response.status(), response.headers());
