Resume a stream only with an answer that is a stream

Gateways were sound for errors with their own status, wrong or repeated answers and lost connections; a success that is no event stream, such as a JSON error with status 200, was spliced in. The resumed answer must now be an event stream, or the caller's stream breaks off after its last event.

--- a/crates/mimosa-gateway/src/relay.rs
+++ b/crates/mimosa-gateway/src/relay.rs
@@ -11,12 +11,12 @@
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Body as _;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
 use hyper::header;
-use hyper::http::response::Parts;
 use log::info;
 use mimosa_hold::events::EventScanner;
 use mimosa_protocol::Timestamp;
@@ -106,7 +106,7 @@
 ) -> Response<Body> {
     let (mut head, body) = upstream_response.response.into_parts();
     let framing = Framing::of(&head.headers, &body);
-    let is_event_stream = is_event_stream(&head, info.run.is_some());
+    let is_event_stream = is_event_stream(head.status, &head.headers, info.run.is_some());
     upstream::remove_hop_by_hop(&mut head.headers);
     if body.size_hint().exact().is_none() {
         head.headers.remove(header::CONTENT_LENGTH);
@@ -184,9 +184,9 @@
 
 /// Whether the body of a successful response is a stream of events. Model endpoints may leave out
 /// the content type.
-fn is_event_stream(head: &Parts, is_model: bool) -> bool {
-    let content_type = head.headers.get(header::CONTENT_TYPE);
-    head.status.is_success()
+pub(crate) fn is_event_stream(status: StatusCode, headers: &HeaderMap, is_model: bool) -> bool {
+    let content_type = headers.get(header::CONTENT_TYPE);
+    status.is_success()
         && content_type.map_or(is_model, |value| {
             value.as_bytes().starts_with(b"text/event-stream")
         })
--- a/crates/mimosa-gateway/src/resume.rs
+++ b/crates/mimosa-gateway/src/resume.rs
@@ -22,6 +22,7 @@
 use crate::head::IdentifiedRequest;
 use crate::model;
 use crate::model::Attempts;
+use crate::relay;
 use crate::response::Body;
 use crate::response::BodyError;
 use crate::response::Failure;
@@ -196,7 +197,7 @@
         let attempt_id = &request.metadata.attempt_id;
         let resumed = match model::run_with_retries(shared, request, client_request, attempts).await
         {
-            Ok(response) if response.status().is_success() => {
+            Ok(response) if relay::is_event_stream(response.status(), response.headers(), true) => {
                 info!("request={attempt_id} step=resume outcome=started");
                 shared.metrics.record_resume("started");
                 Ok(response.into_body())
