Refuse at once what limited decode endpoints cannot start in time

Tests of the fleet scheduler for limits and excluded endpoints, which decide without a network. One of them failed: with all decode endpoints limited, the scheduler took the next requests to start at once although the slots had just been used, and 2 of 30 requests were refused only at their deadline. It now counts the slots of all limited endpoints; the test has at most one.

--- a/crates/mimosa-schedule/src/fleet.rs
+++ b/crates/mimosa-schedule/src/fleet.rs
@@ -13,12 +13,13 @@
 //! The scheduler takes `(now, event)` and returns actions. Its state is not persisted: a successor
 //! rebuilds it from the requests that the gateways hold.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
 use std::time::Duration;
 
 use mimosa_protocol::EndpointId;
 use mimosa_protocol::InstanceId;
-use mimosa_protocol::RequestRate;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::configuration::EndpointRole;
 
@@ -436,27 +437,32 @@
     }
 
     /// Refuses requests that cannot start before their deadline because all decode endpoints are
-    /// limited.
+    /// limited. Each queued request starts in one of the next slots of these endpoints.
     fn refuse_beyond_limits(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        let decodes = self.endpoints.values().filter(|each| each.is_decode());
-        let limits: Option<Vec<_>> = decodes.map(|each| each.max_rate(now)).collect();
-        let Some(limits) = limits.filter(|limits| !limits.is_empty()) else {
+        let mut decodes = self.endpoints.values().filter(|each| each.is_decode());
+        if decodes.clone().next().is_none() || decodes.any(|each| each.max_rate(now).is_none()) {
             return;
-        };
-        let total = limits.iter().fold(RequestRate::default(), |sum, limit| {
-            RequestRate(sum.0.saturating_add(limit.0))
-        });
-        let time_for =
-            |requests: usize| total.time_for(u64::try_from(requests).unwrap_or(u64::MAX));
+        }
+        let decodes = self.endpoints.values().filter(|each| each.is_decode());
+        let mut next_slots: BinaryHeap<_> = decodes
+            .filter_map(|each| each.next_slot(now).map(Reverse))
+            .collect();
+        let mut starts = Vec::new();
+        while starts.len() <= self.queue.len()
+            && let Some(Reverse((start, interval))) = next_slots.pop()
+        {
+            starts.push(start);
+            next_slots.push(Reverse((start + interval, interval)));
+        }
         let backoff = self.settings.no_capacity_backoff;
-        let retry_after = time_for(self.queue.len())
-            .map_or(MAX_LIMIT_DELAY, |time| time.clamp(backoff, MAX_LIMIT_DELAY));
-        let mut index = 0;
+        let retry_after = starts
+            .last()
+            .map_or(MAX_LIMIT_DELAY, |start| start.since(now));
+        let retry_after = retry_after.clamp(backoff, MAX_LIMIT_DELAY);
+        let mut starts = starts.into_iter().peekable();
         self.refuse_unless(actions, retry_after, |each| {
-            let start = time_for(index).map(|time| now + time);
-            let keeps = start.is_some_and(|start| start <= each.refuse_at);
-            index += usize::from(keeps);
-            keeps
+            let is_in_time = |start: &Timestamp| *start <= each.refuse_at;
+            starts.next_if(is_in_time).is_some()
         });
     }
 
--- a/crates/mimosa-schedule/src/fleet/endpoint.rs
+++ b/crates/mimosa-schedule/src/fleet/endpoint.rs
@@ -123,6 +123,11 @@
         self.rate_limit.rate().filter(|_| now < self.limit_until)
     }
 
+    /// Start of the next slot of the limit and the time between two of them; `None` if it allows none.
+    pub(super) fn next_slot(&self, now: Timestamp) -> Option<(Timestamp, Duration)> {
+        self.rate_limit.next_slot(now, Senders::SINGLE)
+    }
+
     /// Records that a request was placed here.
     pub(super) fn record_request(&mut self, now: Timestamp, pacing: Pacing) {
         self.cold.record_request(now, pacing);
--- a/crates/mimosa-schedule/src/rate_limit.rs
+++ b/crates/mimosa-schedule/src/rate_limit.rs
@@ -144,6 +144,13 @@
         }
     }
 
+    /// When the next request may be sent, and the time between two slots; `None` if the endpoint takes
+    /// none or names no limit.
+    pub fn next_slot(&self, now: Timestamp, senders: Senders) -> Option<(Timestamp, Duration)> {
+        let interval = senders.interval(self.rate()?)?;
+        Some((now + self.wait(now, senders)?, interval))
+    }
+
     /// Records a sent request, which uses the current slot.
     pub fn record_request(&mut self, now: Timestamp, senders: Senders) {
         if let Some(limit) = &mut self.0
--- a/crates/mimosa-schedule/tests/fleet.rs
+++ b/crates/mimosa-schedule/tests/fleet.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use mimosa_protocol::EndpointId;
+use mimosa_protocol::RequestRate;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::Tokens;
 use mimosa_schedule::fleet::Action;
@@ -474,3 +476,118 @@
     }
     expect_that!(fleet.tries() - tries, eq(0));
 }
+
+const STEP: Duration = Duration::from_millis(100);
+
+/// Two prefill and two decode endpoints.
+fn small_fleet() -> FleetScheduler {
+    let mut fleet = FleetScheduler::new(Settings::default(), Timestamp::ZERO);
+    fleet.handle(START, Event::Configure(view_of(2, 2)));
+    fleet
+}
+
+fn limit(fleet: &mut FleetScheduler, now: Timestamp, endpoint: &str, max_rate: RequestRate) {
+    let event = Event::Limited {
+        endpoint: endpoint.parse().unwrap(),
+        max_rate: Some(max_rate),
+    };
+    fleet.handle(now, event);
+}
+
+/// The decode endpoints of all placements, whose requests complete at once.
+fn complete_placed(
+    fleet: &mut FleetScheduler,
+    now: Timestamp,
+    actions: Vec<Action>,
+) -> Vec<EndpointId> {
+    let mut decodes = Vec::new();
+    let mut pending = actions;
+    while let Some(action) = pending.pop() {
+        if let Action::Place { id, placement } = action {
+            decodes.push(placement.decode);
+            let end = RunEnd::Complete(Tokens(100));
+            pending.extend(fleet.handle(now, Event::Ended { id, end }));
+        }
+    }
+    decodes
+}
+
+#[gtest]
+fn a_limited_decode_endpoint_is_placed_at_within_its_limit_and_the_other_takes_the_rest() {
+    let mut fleet = small_fleet();
+    let mut decodes = Vec::new();
+    for step in 0..40 {
+        let now = START + STEP * step;
+        limit(&mut fleet, now, "d-1", RequestRate(1_000));
+        let submit = Event::Submit(request(u64::from(step), 5_000, 100));
+        let actions = fleet.handle(now, submit);
+        decodes.extend(complete_placed(&mut fleet, now, actions));
+    }
+    let limited = decodes.iter().filter(|id| id.as_str() == "d-1").count();
+    expect_that!(decodes, len(eq(40)));
+    // One and a half times the limit in 4 s, and five more.
+    expect_that!(limited, all![ge(1), le(11)]);
+}
+
+#[gtest]
+fn an_excluded_endpoint_is_never_selected_and_without_another_the_request_is_refused_at_once() {
+    let mut fleet = small_fleet();
+    for number in 0..20 {
+        let request = PlacementRequest {
+            exclude: vec!["d-1".parse().unwrap()],
+            // A request that failed at the other endpoint does not go to the excluded one either.
+            avoid: vec!["d-2".parse().unwrap()],
+            ..request(number, 5_000, 100)
+        };
+        let actions = fleet.handle(START, Event::Submit(request));
+        let decodes = complete_placed(&mut fleet, START, actions);
+        expect_that!(decodes, each(not(eq(&"d-1".parse().unwrap()))));
+    }
+    let request = PlacementRequest {
+        exclude: vec!["d-1".parse().unwrap(), "d-2".parse().unwrap()],
+        ..request(99, 5_000, 100)
+    };
+    let refused = fleet.handle(START, Event::Submit(request));
+    expect_that!(
+        refused,
+        contains(matches_pattern!(Action::Refuse {
+            reason: eq(&PlacementRefusal::NoEndpoint),
+            ..
+        }))
+    );
+}
+
+/// Guards against requests that wait for limited endpoints until their deadline.
+#[gtest]
+fn requests_beyond_the_limits_of_all_decode_endpoints_are_refused_at_once() {
+    let mut fleet = small_fleet();
+    for endpoint in ["d-1", "d-2"] {
+        limit(&mut fleet, START, endpoint, RequestRate(1_000));
+    }
+    let mut refused = 0;
+    let mut placed = 0;
+    for number in 0..30 {
+        let actions = fleet.handle(START, Event::Submit(request(number, 5_000, 100)));
+        let delays = actions.iter().filter_map(|action| match action {
+            Action::Refuse { retry_after, .. } => Some(*retry_after),
+            Action::Place { .. } => None,
+        });
+        let delays: Vec<_> = delays.collect();
+        refused += delays.len();
+        expect_that!(delays, each(gt(&Duration::from_secs(1))));
+        placed += complete_placed(&mut fleet, START, actions).len();
+    }
+    expect_that!(refused, ge(20));
+    // Those that were kept are served at the rate of both limits.
+    let mut late_refusals = 0;
+    for step in 1..40 {
+        let now = START + STEP * step;
+        let actions = fleet.handle(now, Event::Tick);
+        let is_refusal = |action: &&Action| matches!(action, Action::Refuse { .. });
+        late_refusals += actions.iter().filter(is_refusal).count();
+        placed += complete_placed(&mut fleet, now, actions).len();
+    }
+    expect_that!(placed + refused + late_refusals, eq(30));
+    expect_that!(placed, ge(4));
+    expect_that!(late_refusals, le(1));
+}
