Record placements and convert request rates in one place each

Read-through of the change. The scheduler recorded a request inside the start of a prefill and again for the decode, with a condition so that one endpoint was not counted twice; it now records it once at each endpoint of the placement. RequestRate::time_for repeated the arithmetic of TokenRate and calls it, as ByteRate does. The check for limited decode endpoints goes over them once and not at all for an empty queue. Behaviour is unchanged; the tests of mimosa-schedule and mimosa-protocol pass as they were.

--- a/crates/mimosa-protocol/src/size.rs
+++ b/crates/mimosa-protocol/src/size.rs
@@ -33,14 +33,7 @@
 impl RequestRate {
     /// Time in which this many requests accrue, rounded up to a microsecond; `None` at rate zero.
     pub fn time_for(self, requests: u64) -> Option<Duration> {
-        const KILOSECOND_MICROS: u128 = 1_000_000_000;
-        if self.0 == 0 {
-            return None;
-        }
-        let micros = (u128::from(requests) * KILOSECOND_MICROS).div_ceil(u128::from(self.0));
-        Some(Duration::from_micros(
-            u64::try_from(micros).unwrap_or(u64::MAX),
-        ))
+        TokenRate(self.0).time_for(Tokens(requests.saturating_mul(1_000)))
     }
 }
 
--- a/crates/mimosa-schedule/src/fleet.rs
+++ b/crates/mimosa-schedule/src/fleet.rs
@@ -439,14 +439,17 @@
     /// Refuses requests that cannot start before their deadline because all decode endpoints are
     /// limited. Each queued request starts in one of the next slots of these endpoints.
     fn refuse_beyond_limits(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        let mut decodes = self.endpoints.values().filter(|each| each.is_decode());
-        if decodes.clone().next().is_none() || decodes.any(|each| each.max_rate(now).is_none()) {
+        if self.queue.is_empty() {
             return;
         }
         let decodes = self.endpoints.values().filter(|each| each.is_decode());
-        let mut next_slots: BinaryHeap<_> = decodes
-            .filter_map(|each| each.next_slot(now).map(Reverse))
+        let slots: Option<Vec<_>> = decodes
+            .map(|each| each.is_limited(now).then(|| each.next_slot(now)))
             .collect();
+        let Some(slots) = slots.filter(|slots| !slots.is_empty()) else {
+            return;
+        };
+        let mut next_slots: BinaryHeap<_> = slots.into_iter().flatten().map(Reverse).collect();
         let mut starts = Vec::new();
         while starts.len() <= self.queue.len()
             && let Some(Reverse((start, interval))) = next_slots.pop()
--- a/crates/mimosa-schedule/src/fleet/endpoint.rs
+++ b/crates/mimosa-schedule/src/fleet/endpoint.rs
@@ -100,17 +100,18 @@
         self.prefills.values().map(|each| each.processed_at)
     }
 
-    /// Whether the endpoint is in no backoff after a failure and its cold start allows a request.
+    /// Whether the endpoint is in no backoff after a failure, and its cold start and its rate limit allow
+    /// a request.
     pub(super) fn accepts_work(&self, now: Timestamp, pacing: Pacing) -> bool {
-        let is_limited = self.max_rate(now).is_some();
-        let exceeds_limit = is_limited && !self.rate_limit.allows_request(now, Senders::SINGLE);
+        let exceeds_limit =
+            self.is_limited(now) && !self.rate_limit.allows_request(now, Senders::SINGLE);
         self.cold.allows_request(now, pacing) && now >= self.backoff_until && !exceeds_limit
     }
 
     /// Limits the rate of requests until [`LIMIT_TIME`] after the last response that names a limit, or
     /// ends the limit.
     pub(super) fn limit(&mut self, now: Timestamp, max_rate: Option<RequestRate>) {
-        if max_rate.is_none() || self.max_rate(now).is_none() {
+        if max_rate.is_none() || !self.is_limited(now) {
             self.rate_limit = RateLimit::default();
         }
         self.rate_limit
@@ -118,9 +119,9 @@
         self.limit_until = now + LIMIT_TIME;
     }
 
-    /// The rate limit in force; `None` without one.
-    pub(super) fn max_rate(&self, now: Timestamp) -> Option<RequestRate> {
-        self.rate_limit.rate().filter(|_| now < self.limit_until)
+    /// Whether a rate limit is in force.
+    pub(super) fn is_limited(&self, now: Timestamp) -> bool {
+        now < self.limit_until && self.rate_limit.rate().is_some()
     }
 
     /// Start of the next slot of the limit and the time between two of them; `None` if it allows none.
@@ -157,14 +158,12 @@
         now: Timestamp,
         id: &GatewayRequestId,
         time: Duration,
-        pacing: Pacing,
     ) -> Timestamp {
         let prefill = PendingPrefill {
             processed_at: self.free_at(now).max(now) + time,
             is_measurable: self.prefills.is_empty(),
         };
         self.prefills.insert(id.clone(), prefill);
-        self.record_request(now, pacing);
         prefill.processed_at
     }
 
--- a/crates/mimosa-schedule/src/fleet/placing.rs
+++ b/crates/mimosa-schedule/src/fleet/placing.rs
@@ -210,7 +210,6 @@
     ) -> Action {
         let request = queued.request;
         let id = request.id.clone();
-        let pacing = self.view.cold_pacing;
         let (prompt_endpoint, prefill_time) = match &placement.prefill {
             Some(prefill) => (prefill, self.estimates.prefill_time(request.prompt)),
             None => (&placement.decode, self.decode_prefill_time(&request)),
@@ -219,16 +218,17 @@
         if request.kv_cache_at.is_none()
             && let Some(endpoint) = self.endpoints.get_mut(prompt_endpoint)
         {
-            prefill_end = endpoint.start_prefill(now, &id, prefill_time, pacing)
-                + self.estimates.prefill_latency();
+            prefill_end =
+                endpoint.start_prefill(now, &id, prefill_time) + self.estimates.prefill_latency();
         }
         let decode_start = prefill_end + self.settings.first_output_time;
         let load = self.estimates.memory_load(&request, decode_start);
         if let Some(endpoint) = self.endpoints.get_mut(&placement.decode) {
             endpoint.loads.insert(id.clone(), load);
-            // The prompt at the same endpoint is the same request.
-            if &placement.decode != prompt_endpoint || request.kv_cache_at.is_some() {
-                endpoint.record_request(now, pacing);
+        }
+        for endpoint in placement.prefill.iter().chain([&placement.decode]) {
+            if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
+                endpoint.record_request(now, self.view.cold_pacing);
             }
         }
         let run = Run {
