Check a lost call once, and the quarantine before an endpoint is selected

An answer that ends with its connection was followed by two checks whether the endpoint had ended, the second with a connection of its own; the result of the first one is now used. A request that was quarantined between its attempts was rejected only after an endpoint had been selected, which used up a slot of a limited or cold one; the check comes first. The sound runs to report are a type of their own, so that no list is copied to borrow them, and the placement of a request says in one function when it checks the quarantine.

--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -116,20 +116,11 @@
 ) -> Result<Response<Body>, Failure> {
     let mut last = None;
     for _ in 0..MAX_PLACEMENTS {
-        let check = || {
-            let parts = &client_request.parts;
-            shared.suspects.check(shared.now(), request, parts)
-        };
-        let assignment = match check() {
-            Ok(()) => place(shared, request, attempts).await,
-            Err(failure) => Err(failure),
-        };
-        // The request may have been quarantined while it was queued.
-        let assignment = assignment.and_then(|assignment| check().map(|()| assignment));
-        let assignment = match assignment {
-            Ok(assignment) => assignment,
-            Err(failure) => return Err(last.map_or(failure, final_failure)),
-        };
+        let assignment =
+            match place_unless_quarantined(shared, request, client_request, attempts).await {
+                Ok(assignment) => assignment,
+                Err(failure) => return Err(last.map_or(failure, final_failure)),
+            };
         let failure = match run(shared, request, client_request, assignment, attempts).await {
             Ok(response) => return Ok(response),
             Err(failure) => failure,
@@ -276,6 +267,23 @@
     }
 }
 
+async fn place_unless_quarantined(
+    shared: &Arc<Shared>,
+    request: &IdentifiedRequest,
+    client_request: &ClientRequest,
+    attempts: &Attempts,
+) -> Result<Assignment, Failure> {
+    let check = || {
+        let parts = &client_request.parts;
+        shared.suspects.check(shared.now(), request, parts)
+    };
+    check()?;
+    let assignment = place(shared, request, attempts).await?;
+    // The request may have been quarantined while it was queued.
+    check()?;
+    Ok(assignment)
+}
+
 /// Places a request: the leader decides, or this gateway if no leader responds. The leader decides
 /// again if an endpoint is gone or takes no requests of this gateway any more.
 async fn place(
@@ -336,31 +344,28 @@
         let endpoint = endpoints.get(id)?;
         endpoint.accepts_requests(now).then(|| Arc::clone(endpoint))
     };
-    let decode_endpoint = available(decode);
-    let prefill_endpoint = prefill.as_ref().map(available);
-    let is_available =
-        decode_endpoint.is_some() && !prefill_endpoint.as_ref().is_some_and(Option::is_none);
+    let prefill_endpoint = match prefill {
+        Some(id) => available(id).map(Some),
+        None => Some(None),
+    };
+    let selected = available(decode).zip(prefill_endpoint);
     info!(
         "request={} step=place outcome={} prefill={} decode={decode} waited_ms={}",
         request.metadata.attempt_id,
-        if is_available {
-            "placed"
-        } else {
-            "endpoint_gone"
-        },
+        selected.as_ref().map_or("endpoint_gone", |_| "placed"),
         prefill.as_ref().map_or("none", EndpointId::as_str),
         waited.as_millis()
     );
-    if !is_available {
+    let Some((decode, prefill)) = selected else {
         run.end(RunEnd::NoCapacity);
         return None;
-    }
+    };
     shared
         .metrics
         .record_placement(request.service.as_str(), "leader", waited);
     Some(Assignment {
-        prefill: prefill_endpoint.flatten(),
-        decode: decode_endpoint?,
+        prefill,
+        decode,
         run,
     })
 }
--- a/crates/mimosa-gateway/src/part_quarantine.rs
+++ b/crates/mimosa-gateway/src/part_quarantine.rs
@@ -59,8 +59,24 @@
     sound_runs: RecentSoundRuns,
     /// Oldest first.
     lost_runs: VecDeque<LostRun>,
-    /// Sound runs of each service that remain to be reported.
-    sound_reports: HashMap<ServiceId, u8>,
+    sound_reports: SoundReports,
+}
+
+/// Number of sound runs of each service that remain to be reported.
+#[derive(Default)]
+struct SoundReports(HashMap<ServiceId, u8>);
+
+impl SoundReports {
+    fn request(&mut self, service: &ServiceId) {
+        self.0.insert(service.clone(), SOUND_REPORTS);
+    }
+
+    /// Whether a sound run of this service is to be reported; counts it if so.
+    fn take(&mut self, service: &ServiceId) -> bool {
+        let remaining = self.0.get_mut(service);
+        let remaining = remaining.filter(|remaining| **remaining > 0);
+        remaining.map(|remaining| *remaining -= 1).is_some()
+    }
 }
 
 /// A run that was lost with its endpoint at the start of its answer.
@@ -89,21 +105,10 @@
         if self.lost_runs.len() >= MAX_LOST_RUNS {
             self.lost_runs.pop_front();
         }
-        self.request_sound_reports(run.service.clone());
+        self.sound_reports.request(&run.service);
         self.lost_runs.push_back(run);
     }
 
-    fn request_sound_reports(&mut self, service: ServiceId) {
-        self.sound_reports.insert(service, SOUND_REPORTS);
-    }
-
-    /// Whether a sound run of this service is to be reported; counts it if so.
-    fn take_sound_report(&mut self, service: &ServiceId) -> bool {
-        let remaining = self.sound_reports.get_mut(service);
-        let remaining = remaining.filter(|remaining| **remaining > 0);
-        remaining.map(|remaining| *remaining -= 1).is_some()
-    }
-
     /// A later leader must not blame the parts of a sound run for earlier crashes.
     fn clear_lost_runs(&mut self, sound: &RequestParts) {
         self.lost_runs.retain_mut(|run| {
@@ -144,16 +149,15 @@
         now: Timestamp,
         suspects: &Suspects,
     ) -> Option<GatewayMessage> {
-        let mut inner = self.lock();
-        let services = suspects.suspects.iter();
-        for service in services.map(|(_, suspect)| &suspect.service) {
-            inner.request_sound_reports(service.clone());
-        }
         let Inner {
             quarantine,
             sound_runs,
+            sound_reports,
             ..
-        } = &mut *inner;
+        } = &mut *self.lock();
+        for (_, suspect) in &suspects.suspects {
+            sound_reports.request(&suspect.service);
+        }
         quarantine.expire(now);
         let is_changed = quarantine.merge(now, suspects);
         let sound = quarantine.clear_remembered(sound_runs);
@@ -180,24 +184,18 @@
 
     /// The recent lost runs and the known suspects, for a new leader.
     pub(crate) fn reports(&self, now: Timestamp) -> Vec<GatewayMessage> {
-        let mut inner = self.lock();
-        inner
-            .lost_runs
-            .retain(|run| now.since(run.at) < LOST_RUN_RETENTION);
-        let services: Vec<_> = inner
-            .lost_runs
-            .iter()
-            .map(|run| run.service.clone())
-            .collect();
-        for service in services {
-            inner.request_sound_reports(service);
+        let Inner {
+            quarantine,
+            lost_runs,
+            sound_reports,
+            ..
+        } = &mut *self.lock();
+        lost_runs.retain(|run| now.since(run.at) < LOST_RUN_RETENTION);
+        for run in lost_runs.iter() {
+            sound_reports.request(&run.service);
         }
-        let mut reports: Vec<_> = inner
-            .lost_runs
-            .iter()
-            .map(|run| run.to_report(now))
-            .collect();
-        let suspects = inner.quarantine.suspects(now);
+        let mut reports: Vec<_> = lost_runs.iter().map(|run| run.to_report(now)).collect();
+        let suspects = quarantine.suspects(now);
         if !suspects.suspects.is_empty() {
             reports.push(GatewayMessage::ReportSuspects(suspects));
         }
@@ -245,27 +243,22 @@
     /// Records that the answer is past its start; repetitions are ignored. Clears its parts if they
     /// are suspects. The leader counts the complete runs of models, but it does not know those of
     /// plain services, so a few of these are reported after crashes.
-    pub(crate) fn record_sound(
-        &mut self,
-        now: Timestamp,
-        known: &KnownSuspects,
-        placement: &PlacementClient,
-    ) {
+    pub(crate) fn record_sound(&mut self, now: Timestamp, shared: &Shared) {
         if self.is_sound {
             return;
         }
         self.is_sound = true;
-        let mut inner = known.lock();
+        let mut inner = shared.suspects.lock();
         inner.sound_runs.record(now, &self.parts);
         inner.clear_lost_runs(&self.parts);
         let is_suspect = inner.quarantine.is_suspect(&self.parts);
         if is_suspect {
             inner.quarantine.clear(now, &self.parts);
         }
-        let is_due = inner.take_sound_report(&self.service);
+        let is_due = inner.sound_reports.take(&self.service);
         drop(inner);
         if is_suspect || is_due {
-            self.report_sound(placement);
+            self.report_sound(&shared.placement);
         }
     }
 
@@ -279,42 +272,35 @@
         sent: Timestamp,
     ) {
         let lost_at = shared.now();
-        if self.is_sound {
-            return self.report_sound(&shared.placement);
-        }
-        if endpoint.listed.role == EndpointRole::Decode {
-            return self.report_crash(shared, &endpoint.listed, sent, lost_at);
+        if self.is_sound || endpoint.listed.role == EndpointRole::Decode {
+            return self.report_ended(shared, &endpoint.listed, sent, lost_at);
         }
         let run = self.clone();
         let shared = Arc::clone(shared);
         let endpoint = Arc::clone(endpoint);
         tokio::spawn(async move {
-            let has_ended = endpoint.pool.has_ended(|| shared.now()).await;
-            let role = endpoint.listed.role;
-            info!(
-                "request={} step=crash_check endpoint={} role={role:?} ended={has_ended} \
-                 ran_ms={} content={:032x}",
-                run.attempt_id,
-                endpoint.listed.id,
-                lost_at.since(sent).as_millis(),
-                run.parts.whole.0
-            );
-            shared
-                .metrics
-                .record_lost_call(run.service.as_str(), role, has_ended);
-            if has_ended {
-                run.report_crash(&shared, &endpoint.listed, sent, lost_at);
+            if endpoint.pool.has_ended(|| shared.now()).await {
+                run.report_ended(&shared, &endpoint.listed, sent, lost_at);
+            } else {
+                run.record_check(&shared, &endpoint.listed, sent, lost_at, false);
             }
         });
     }
 
-    fn report_crash(
+    /// Records that this run was lost at `lost_at` with the endpoint's process.
+    pub(crate) fn report_ended(
         &self,
         shared: &Shared,
         endpoint: &ListedEndpoint,
         sent: Timestamp,
         lost_at: Timestamp,
     ) {
+        if self.is_sound {
+            return self.report_sound(&shared.placement);
+        }
+        if endpoint.role != EndpointRole::Decode {
+            self.record_check(shared, endpoint, sent, lost_at, true);
+        }
         let process = CrashId {
             endpoint: endpoint.id.clone(),
             incarnation: Incarnation(endpoint.started_at_ms),
@@ -331,6 +317,29 @@
         shared.placement.send_to_leader(report);
     }
 
+    /// Logs and counts whether the endpoint's process ended with the connection.
+    fn record_check(
+        &self,
+        shared: &Shared,
+        endpoint: &ListedEndpoint,
+        sent: Timestamp,
+        lost_at: Timestamp,
+        has_ended: bool,
+    ) {
+        let role = endpoint.role;
+        info!(
+            "request={} step=crash_check endpoint={} role={role:?} ended={has_ended} ran_ms={} \
+             content={:032x}",
+            self.attempt_id,
+            endpoint.id,
+            lost_at.since(sent).as_millis(),
+            self.parts.whole.0
+        );
+        shared
+            .metrics
+            .record_lost_call(self.service.as_str(), role, has_ended);
+    }
+
     fn report_sound(&self, placement: &PlacementClient) {
         placement.send_to_leader(GatewayMessage::ReportSoundRun {
             service: self.service.clone(),
--- a/crates/mimosa-gateway/src/plain.rs
+++ b/crates/mimosa-gateway/src/plain.rs
@@ -48,19 +48,19 @@
         if now >= request.deadline {
             break;
         }
+        // The request may have been quarantined since it was admitted, or by its own attempts.
+        if let Err(failure) = shared.suspects.check(now, request, &client_request.parts) {
+            if matches!(last, LastOutcome::NotAttempted) {
+                return Err(failure);
+            }
+            break;
+        }
         let endpoints = shared.directory.endpoints();
         let Some(endpoint) =
             upstream::select_endpoint(shared, now, &endpoints, request, role, &tried)
         else {
             break;
         };
-        let allowed = shared.suspects.check(now, request, &client_request.parts);
-        if let Err(failure) = allowed {
-            return match last {
-                LastOutcome::NotAttempted => Err(failure),
-                _ => last.into_result(BUSY_RETRY_AFTER),
-            };
-        }
         if attempts > 0 && !shared.take_retry(now, &request.service) {
             info!(
                 "request={} step=retry outcome=refused reason=\"no retry budget\"",
--- a/crates/mimosa-gateway/src/relay.rs
+++ b/crates/mimosa-gateway/src/relay.rs
@@ -74,7 +74,7 @@
         Ok(body) => {
             record_health(&endpoint, now, sent, head.status.is_server_error());
             endpoint.pool.put(now, connection);
-            tracked.record_sound(now, &shared.suspects, &shared.placement);
+            tracked.record_sound(now, shared);
             upstream::remove_hop_by_hop(&mut head.headers);
             Ok(Response::from_parts(
                 head,
@@ -127,6 +127,7 @@
         timing: StreamTiming::default(),
         bytes: 0,
         crash_check: None,
+        has_ended: false,
         failed: None,
     };
     Response::from_parts(head, body.boxed_unsync())
@@ -228,6 +229,8 @@
     bytes: u64,
     /// Running check whether the endpoint crashed when its response ended.
     crash_check: Option<Pin<Box<dyn Future<Output = bool> + Send>>>,
+    /// Whether that check found that the endpoint's process has ended.
+    has_ended: bool,
     /// Failure to report after the bytes that arrived with it.
     failed: Option<BodyError>,
 }
@@ -255,7 +258,7 @@
     fn record_sound(&mut self) {
         if let Some(tracked) = &mut self.info.tracked {
             let now = self.shared.now();
-            tracked.record_sound(now, &self.shared.suspects, &self.shared.placement);
+            tracked.record_sound(now, &self.shared);
         }
     }
 
@@ -303,12 +306,12 @@
                 return Poll::Ready(None);
             }
         }
-        let has_ended = match &mut self.crash_check {
+        self.has_ended = match &mut self.crash_check {
             Some(check) => ready!(check.as_mut().poll(cx)),
             None => false,
         };
         self.crash_check = None;
-        if has_ended {
+        if self.has_ended {
             self.end("cut");
             return Poll::Ready(Some(Err(BodyError::EndpointEnded)));
         }
@@ -327,8 +330,15 @@
                 }
                 "cut" => {
                     self.endpoint.health().record_unreachable(now);
-                    if let Some(tracked) = &self.info.tracked {
-                        tracked.report_lost(&self.shared, &self.endpoint, self.sent);
+                    match &self.info.tracked {
+                        Some(tracked) if self.has_ended => {
+                            let endpoint = &self.endpoint.listed;
+                            tracked.report_ended(&self.shared, endpoint, self.sent, now);
+                        }
+                        Some(tracked) => {
+                            tracked.report_lost(&self.shared, &self.endpoint, self.sent);
+                        }
+                        None => {}
                     }
                 }
                 _ => {}
