Check a lost call of a plain service once, at entries

Read-through of the change to entries. An answer that ended with its endpoint was checked twice for it, a request that may be repeated was checked against the quarantine twice before its first attempt, and an answer over the size of the ledger was logged as a broken connection. Each is done once, and the last one not at all. What callers get is unchanged; the tests of mimosa-entry pass.

--- a/crates/mimosa-entry/src/plain.rs
+++ b/crates/mimosa-entry/src/plain.rs
@@ -20,6 +20,7 @@
 use axum::response::Response;
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use mimosa_hold::part_quarantine::RequestParts;
 use mimosa_hold::quarantine::Fingerprint;
@@ -145,8 +146,6 @@
     async fn run_idempotent(&self, queue: &Arc<dyn RequestQueue>) -> Result<Response, Refusal> {
         let mut attempts = AttemptHistory::new();
         loop {
-            self.check_quarantine()
-                .map_err(|refusal| attempts.merge_into(refusal))?;
             let outcome = self
                 .try_once(queue, attempts.number(), attempts.avoid())
                 .await;
@@ -167,6 +166,8 @@
                     ) =>
                 {
                     self.shared.metrics.count_retry(&self.service.id);
+                    self.check_quarantine()
+                        .map_err(|refusal| attempts.merge_into(refusal))?;
                 }
                 Err(_) => return Err(attempts.final_refusal()),
             }
@@ -241,9 +242,13 @@
         let is_cut = engine_response.ends_with_connection && attempt.has_endpoint_ended().await;
         let body = match body {
             Ok(body) if !is_cut => body,
-            _ => {
+            failed => {
                 intent.end(LedgerEnd::Unknown);
-                call.record_lost(&self.shared);
+                match failed {
+                    _ if is_cut => call.record_ended(&self.shared),
+                    Err(e) if !e.is::<LengthLimitError>() => call.record_lost(&self.shared),
+                    _ => {}
+                }
                 attempt.end(AttemptEnd::Failed);
                 return Err(Refusal::unknown(RefusalReason::EndpointFailed));
             }
@@ -474,7 +479,7 @@
             None => {
                 let (attempt, call) = open.take()?;
                 if ends_with_connection && attempt.has_endpoint_ended().await {
-                    call.record_lost(attempt.shared());
+                    call.record_ended(attempt.shared());
                     attempt.end(AttemptEnd::Failed);
                     let e = axum::Error::new(EndpointEnded);
                     return Some((Err(e), (Body::empty(), None)));
--- a/crates/mimosa-entry/src/suspects.rs
+++ b/crates/mimosa-entry/src/suspects.rs
@@ -128,18 +128,27 @@
         let lost_at = shared.now();
         tokio::spawn(async move {
             let has_ended = shared.engine_client.refuses_connections(self.address).await;
-            log::info!(
-                "service {}: endpoint {} broke the connection of a call after {} ms, its process {}",
-                self.service,
-                self.endpoint,
-                lost_at.since(self.began).as_millis(),
-                if has_ended { "ended" } else { "goes on" }
-            );
-            if has_ended {
-                shared.quarantine.record_lost_call(lost_at, &self);
-            }
+            self.record_check(&shared, lost_at, has_ended);
         });
     }
+
+    /// Records that the call was lost with the endpoint's process.
+    pub(crate) fn record_ended(&self, shared: &Shared) {
+        self.record_check(shared, shared.now(), true);
+    }
+
+    fn record_check(&self, shared: &Shared, lost_at: Timestamp, has_ended: bool) {
+        log::info!(
+            "service {}: endpoint {} broke the connection of a call after {} ms, its process {}",
+            self.service,
+            self.endpoint,
+            lost_at.since(self.began).as_millis(),
+            if has_ended { "ended" } else { "goes on" }
+        );
+        if has_ended {
+            shared.quarantine.record_lost_call(lost_at, self);
+        }
+    }
 }
 
 impl QuarantineTracker {
