--- a/crates/mimosa-schedule/tests/rate_limit.rs
+++ b/crates/mimosa-schedule/tests/rate_limit.rs
@@ -89,12 +89,12 @@
 const LIMITS: [u64; 6] = [300, 1_000, 1_900, 2_600, 5_600, 50_000];
 const COUNTS: [u32; 5] = [1, 2, 6, 86, 294];
 
-#[test]
-fn senders_that_are_always_busy_keep_the_limit_together() {
+/// Checks the users' bound for senders that are busy at the given times.
+fn check_limits(is_busy: impl Fn(Timestamp) -> bool) {
     for limit in LIMITS.map(RequestRate) {
         for count in COUNTS {
             for seed in 0..SEEDS {
-                let sent = sent_by(count, limit, seed, SHORT, |_| true);
+                let sent = sent_by(count, limit, seed, SHORT, &is_busy);
                 let most = most_in_window(&sent);
                 assert_that!(most, le(allowed(limit)), "{limit} {count} {seed}");
             }
@@ -102,19 +102,15 @@
     }
 }
 
+#[test]
+fn senders_that_are_always_busy_keep_the_limit_together() {
+    check_limits(|_| true);
+}
+
 /// Guards against senders that save up slots and use them at the same moment.
 #[test]
 fn senders_that_become_busy_at_the_same_moment_keep_the_limit_together() {
-    for limit in LIMITS.map(RequestRate) {
-        for count in COUNTS {
-            for seed in 0..SEEDS {
-                let is_busy = |now: Timestamp| now.since(START) > DAY / 2;
-                let sent = sent_by(count, limit, seed, SHORT, is_busy);
-                let most = most_in_window(&sent);
-                assert_that!(most, le(allowed(limit)), "{limit} {count} {seed}");
-            }
-        }
-    }
+    check_limits(|now| now.since(START) > DAY / 2);
 }
 
 /// Guards against limits that are kept by sending nothing.
