Review cases: run.sh names the record and the switch of the disruption

Cause: run.sh left record.txt and TROUBLE to the stand-in program, and wrote no record if the programs were not built.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,8 +1,8 @@
 //! Stand-ins and checks of the review cases: clients, operators, workers and the platform's list,
 //! around the project's own programs.
 //!
-//! `review-standins CASE FOLDER` runs a case and writes `FOLDER/record.txt`. Exit code 1: the rule
-//! was broken, 0: it held, 2: the case could not run. `TROUBLE=0` leaves out the disruption.
+//! `review-standins CASE RECORD TROUBLE` runs a case and writes the file RECORD. Exit code 1: the rule
+//! was broken, 0: it held, 2: the case could not run. `0` for TROUBLE leaves out the disruption.
 
 mod endless;
 mod evacuation;
@@ -15,7 +15,7 @@
 mod system;
 mod worker;
 
-use std::path::PathBuf;
+use std::path::Path;
 use std::process::ExitCode;
 
 use crate::record::Record;
@@ -42,23 +42,22 @@
     let args: Vec<&str> = args.iter().map(String::as_str).collect();
     match args.as_slice() {
         ["worker", rest @ ..] => worker::run_process(rest),
-        [case, folder] => run_case(case, PathBuf::from(folder)),
+        [case, record, trouble] => run_case(case, Path::new(record), *trouble != "0"),
         _ => {
-            eprintln!("usage: review-standins CASE FOLDER");
+            eprintln!("usage: review-standins CASE RECORD TROUBLE");
             ExitCode::from(2)
         }
     }
 }
 
-fn run_case(case: &str, folder: PathBuf) -> ExitCode {
-    let record = match Record::create(&folder.join("record.txt")) {
+fn run_case(case: &str, record: &Path, has_trouble: bool) -> ExitCode {
+    let record = match Record::create(record) {
         Ok(record) => record,
         Err(e) => {
             eprintln!("cannot write the record: {e}");
             return ExitCode::from(2);
         }
     };
-    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     record.note(&format!("case={case} trouble={has_trouble}"));
     let verdict = match case {
         "evacuation" => evacuation::run(&record, has_trouble),
