Ignore evacuation orders that a newer order overtook

Cause: the return and removal of a data centre carried nothing that tells an old order from a new one, so the leader applied a forwarded order whenever it arrived. Plans, documents and ledger calls have numbers, versions and keys; gateways order states by log index, so they were ruled out.

The receiving instance now asks for the committed log index first, within 800 ms, and the order carries it. Replicas ignore an order if the opposite took effect at a higher index; a resent order is still acknowledged. No clocks are compared.

--- a/crates/mimosa-control/src/admin/reads.rs
+++ b/crates/mimosa-control/src/admin/reads.rs
@@ -116,7 +116,7 @@
 /// [`StatusCode::SERVICE_UNAVAILABLE`] while it cannot.
 pub async fn readyz(State(admin): State<Admin>) -> Result<&'static str, StatusCode> {
     match admin.replicator.read_barrier().await {
-        Ok(()) => Ok("ready\n"),
+        Ok(_) => Ok("ready\n"),
         Err(_) => Err(StatusCode::SERVICE_UNAVAILABLE),
     }
 }
--- a/crates/mimosa-control/src/replicator.rs
+++ b/crates/mimosa-control/src/replicator.rs
@@ -2,6 +2,7 @@
 
 use std::pin::Pin;
 
+use mimosa_consensus::LogIndex;
 use mimosa_state::CommandResult;
 use mimosa_state::Operation;
 use thiserror::Error;
@@ -60,8 +61,9 @@
     /// Commits a command and returns its result once it is applied.
     fn propose(&self, operation: Operation) -> BoxFuture<'_, Result<CommandResult, ProposeError>>;
 
-    /// Waits until the applied state includes everything committed before this call.
-    fn read_barrier(&self) -> BoxFuture<'_, Result<(), NotCurrent>>;
+    /// Waits until the applied state includes everything committed before this call. Returns the log
+    /// index up to which that is proven; everything committed after the call has a higher one.
+    fn read_barrier(&self) -> BoxFuture<'_, Result<LogIndex, NotCurrent>>;
 
     /// The status that the replica last published; not proven to be current.
     fn status(&self) -> ReplicaStatus;
--- a/crates/mimosa-control/src/replicator/memory.rs
+++ b/crates/mimosa-control/src/replicator/memory.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use mimosa_consensus::LogIndex;
 use mimosa_state::Command;
 use mimosa_state::CommandResult;
 use mimosa_state::Operation;
@@ -43,8 +44,8 @@
         })
     }
 
-    fn read_barrier(&self) -> BoxFuture<'_, Result<(), NotCurrent>> {
-        Box::pin(async { Ok(()) })
+    fn read_barrier(&self) -> BoxFuture<'_, Result<LogIndex, NotCurrent>> {
+        Box::pin(async { Ok(LogIndex(self.index.load(Ordering::Relaxed))) })
     }
 
     fn status(&self) -> ReplicaStatus {
--- a/crates/mimosa-control/src/replicator/replicated.rs
+++ b/crates/mimosa-control/src/replicator/replicated.rs
@@ -2,8 +2,10 @@
 //!
 //! A dedicated thread drives the replica state machine and its disk ([`core`]); tasks exchange
 //! messages with the other instances ([`crate::peer`]). Every instance accepts commands; followers
-//! forward them to the leader. Forwarding a command twice is safe, as orders are identified by
-//! operator and number and ledger calls by their idempotency key.
+//! forward them to the leader. A forwarded command can arrive twice, and long after its sender gave
+//! up. That changes nothing, as every command tells what it follows: orders are identified by
+//! operator and number, routing documents by their version, the return and removal of data centres by
+//! the log index at which they were received, and ledger calls by their idempotency key.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -144,10 +146,11 @@
         }
     }
 
-    async fn barrier_until(&self, deadline: Instant) -> Result<(), NotCurrent> {
+    async fn barrier_until(&self, deadline: Instant) -> Result<LogIndex, NotCurrent> {
         while Instant::now() < deadline {
             if let Some(index) = self.read_index(deadline).await {
-                return self.wait_applied(index, deadline).await;
+                self.wait_applied(index, deadline).await?;
+                return Ok(index);
             }
             sleep(RETRY_DELAY).await;
         }
@@ -207,7 +210,7 @@
         Box::pin(self.propose_until(operation, self.deadline()))
     }
 
-    fn read_barrier(&self) -> BoxFuture<'_, Result<(), NotCurrent>> {
+    fn read_barrier(&self) -> BoxFuture<'_, Result<LogIndex, NotCurrent>> {
         Box::pin(self.barrier_until(self.deadline()))
     }
 
--- a/crates/mimosa-control/src/routing.rs
+++ b/crates/mimosa-control/src/routing.rs
@@ -7,6 +7,7 @@
 use axum::Router;
 use log::info;
 use log::warn;
+use mimosa_consensus::LogIndex;
 use mimosa_protocol::DataCentreId;
 use mimosa_protocol::FencingToken;
 use mimosa_protocol::InstanceId;
@@ -18,6 +19,8 @@
 use mimosa_state::CommandResult;
 use mimosa_state::Operation;
 use mimosa_state::routing::AdoptedDocument;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
 
 use crate::replicator::BoxFuture;
 use crate::replicator::ProposeError;
@@ -31,6 +34,11 @@
 pub mod metrics;
 pub mod published;
 
+/// Time limit for learning which changes precede an order. Operators send an order again, to another
+/// instance, after 1 s without an answer, and may revoke it once that is confirmed; an order that is
+/// placed in the log earlier precedes such changes.
+const RECEIPT_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// The integration of a platform: its document format, endpoint list, operator API and engine API.
 #[derive(Clone)]
 pub struct Integration {
@@ -128,6 +136,9 @@
     /// No quorum confirmed the order; the cause tells whether it can still take effect.
     #[error("{0}")]
     Unconfirmed(#[from] ProposeError),
+    /// A later order precedes this one in the log; nothing changed.
+    #[error("a later order for the data centre was confirmed first, so this one changed nothing")]
+    Superseded,
     /// This instance cannot prove that its state is current.
     #[error("this control instance cannot prove that it is current")]
     NotCurrent,
@@ -154,27 +165,47 @@
         Ok(version)
     }
 
-    /// Takes a data centre out of routing (`out` is true) or returns it.
+    /// Takes a data centre out of routing (`out` is true) or returns it, unless the opposite was
+    /// ordered after the receipt of this order and reached the log before it.
     ///
     /// # Errors
     ///
-    /// If no quorum confirmed the order.
+    /// If no quorum confirmed the order, if a later order preceded it in the log, or if its receipt
+    /// could not be placed in the log within [`RECEIPT_TIMEOUT`].
     pub async fn set_data_centre_out(
         &self,
         data_centre: DataCentreId,
         out: bool,
     ) -> Result<(), OrderError> {
-        let operation = Operation::SetDataCentreOut {
+        let as_of = self.receipt_index().await?;
+        let operation = Operation::OrderDataCentreOut {
             data_centre: data_centre.clone(),
             out,
+            as_of: as_of.get(),
         };
-        let changed = self.propose(operation).await?;
+        let changed = self.propose(operation).await.inspect_err(|e| {
+            info!(
+                "order=set_out data_centre={data_centre} out={out} as_of={as_of} outcome=\"{e}\""
+            );
+        })?;
         info!(
-            "order=set_out data_centre={data_centre} out={out} outcome=confirmed changed={changed}"
+            "order=set_out data_centre={data_centre} out={out} as_of={as_of} outcome=confirmed \
+             changed={changed}"
         );
         Ok(())
     }
 
+    /// The log index that separates the changes before the receipt of an order from those after it.
+    async fn receipt_index(&self) -> Result<LogIndex, OrderError> {
+        let deadline = Instant::now() + RECEIPT_TIMEOUT;
+        let index = timeout_at(deadline, self.replicator.read_barrier()).await;
+        // After a freeze of this process the index may be known although the deadline has passed.
+        match index {
+            Ok(Ok(index)) if Instant::now() <= deadline => Ok(index),
+            _ => Err(OrderError::NotCurrent),
+        }
+    }
+
     /// The bytes of the document in force; `None` before the first one.
     ///
     /// # Errors
@@ -194,6 +225,7 @@
         let result = self.replicator.propose(operation).await;
         match result {
             Ok(CommandResult::RoutingChanged { changed }) => Ok(changed),
+            Ok(CommandResult::RoutingSuperseded) => Err(OrderError::Superseded),
             Ok(other) => {
                 warn!("unexpected result of a routing order: {other:?}");
                 Err(ProposeError::OutcomeUnknown.into())
--- a/crates/mimosa-state/src/command.rs
+++ b/crates/mimosa-state/src/command.rs
@@ -52,13 +52,24 @@
         Nothing,
         /// Adopts a routing document if its version is higher than the one in force.
         AdoptRouting(AdoptedDocument),
-        /// Takes a data centre out of routing, or returns it.
+        /// Takes a data centre out of routing, or returns it, whenever it arrives. No longer proposed;
+        /// logs of earlier versions contain it.
         SetDataCentreOut {
             /// Name of the data centre; it need not be in the configuration.
             data_centre: DataCentreId,
             /// `true` to send it no new requests, `false` to return it.
             out: bool,
         },
+        /// Takes a data centre out of routing, or returns it, unless the opposite took effect after the
+        /// order was received.
+        OrderDataCentreOut {
+            /// Name of the data centre; it need not be in the configuration.
+            data_centre: DataCentreId,
+            /// `true` to send it no new requests, `false` to return it.
+            out: bool,
+            /// The log index up to which everything was committed when the order was received.
+            as_of: u64,
+        },
     }
 
     /// The result of applying a command.
@@ -73,11 +84,15 @@
         LedgerFinished,
         /// The no-op was applied.
         Nothing,
-        /// The result of [`Operation::AdoptRouting`] or [`Operation::SetDataCentreOut`].
+        /// The result of [`Operation::AdoptRouting`], [`Operation::SetDataCentreOut`] or
+        /// [`Operation::OrderDataCentreOut`].
         RoutingChanged {
             /// Whether the routing state differs from the one before.
             changed: bool,
         },
+        /// [`Operation::OrderDataCentreOut`] changed nothing, as the opposite took effect after the order
+        /// was received.
+        RoutingSuperseded,
     }
 }
 
--- a/crates/mimosa-state/src/machine.rs
+++ b/crates/mimosa-state/src/machine.rs
@@ -5,6 +5,7 @@
 
 use mimosa_protocol::Change;
 use mimosa_protocol::Configuration;
+use mimosa_protocol::DataCentreId;
 use mimosa_protocol::FencingToken;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::OrderNumber;
@@ -92,10 +93,17 @@
                 self.audit_routing_change(action, changed)
             }
             Operation::SetDataCentreOut { data_centre, out } => {
-                let verb = if out { "take out" } else { "return" };
-                let action = format!("{verb} data centre {data_centre}");
-                let changed = self.routing.set_data_centre_out(index, data_centre, out);
-                self.audit_routing_change(action, changed)
+                self.set_data_centre_out(index, data_centre, out)
+            }
+            Operation::OrderDataCentreOut {
+                data_centre,
+                out,
+                as_of,
+            } => {
+                if self.routing.supersedes(&data_centre, out, as_of) {
+                    return CommandResult::RoutingSuperseded;
+                }
+                self.set_data_centre_out(index, data_centre, out)
             }
         }
     }
@@ -149,6 +157,18 @@
         &self.routing
     }
 
+    fn set_data_centre_out(
+        &mut self,
+        index: u64,
+        data_centre: DataCentreId,
+        out: bool,
+    ) -> CommandResult {
+        let verb = if out { "take out" } else { "return" };
+        let action = format!("{verb} data centre {data_centre}");
+        let changed = self.routing.set_data_centre_out(index, data_centre, out);
+        self.audit_routing_change(action, changed)
+    }
+
     fn audit_routing_change(&mut self, action: String, changed: bool) -> CommandResult {
         if changed {
             let operator = ROUTING_OPERATOR.parse().expect("a valid operator name");
@@ -179,7 +199,11 @@
     ///
     /// If the bytes are not a snapshot in the encoding of this version.
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        postcard::from_bytes(bytes)
+        postcard::from_bytes(bytes).or_else(|e| {
+            // Snapshots of earlier versions lack the last field, a map; a zero encodes an empty one.
+            let with_empty_map = [bytes, &[0]].concat();
+            postcard::from_bytes(&with_empty_map).map_err(|_| e)
+        })
     }
 
     fn plan(
--- a/crates/mimosa-state/src/routing.rs
+++ b/crates/mimosa-state/src/routing.rs
@@ -1,5 +1,6 @@
 //! The adopted routing document and the data centres that are out of routing.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -14,6 +15,8 @@
         document: Option<AdoptedDocument>,
         data_centres_out: BTreeSet<DataCentreId>,
         last_changed: u64,
+        /// The log index of the last change of each data centre that was ever out.
+        data_centre_changes: BTreeMap<DataCentreId, u64>,
     }
 
     /// A routing document as an operator sent it.
@@ -60,13 +63,21 @@
         out: bool,
     ) -> bool {
         let changed = if out {
-            self.data_centres_out.insert(data_centre)
+            self.data_centres_out.insert(data_centre.clone())
         } else {
             self.data_centres_out.remove(&data_centre)
         };
         if changed {
             self.last_changed = index;
+            self.data_centre_changes.insert(data_centre, index);
         }
         changed
     }
+
+    /// Whether the opposite of an order took effect after the log index at which it was received.
+    pub(crate) fn supersedes(&self, data_centre: &DataCentreId, out: bool, as_of: u64) -> bool {
+        let changed_at = self.data_centre_changes.get(data_centre);
+        let is_out = self.data_centres_out.contains(data_centre);
+        is_out != out && changed_at.is_some_and(|changed_at| *changed_at > as_of)
+    }
 }
