Ignore messages of replaced connections

An old report of active requests ended newer requests of the gateway, a forwarded command took effect after later ones, and the queued requests of a gateway's earlier process were placed for requests of the next one, whose numbers start again. Messages to gateways were read through and ruled out.

Connections are numbered as they are accepted, and only the newest one of a sender is served. The hello of a gateway names its process.

--- a/crates/mimosa-control/src/entry_port.rs
+++ b/crates/mimosa-control/src/entry_port.rs
@@ -23,6 +23,8 @@
 use tokio::time::timeout;
 
 use crate::clock;
+use crate::connection_order::ConnectionNumber;
+use crate::connection_order::ConnectionOrder;
 use crate::entry_registry::EntryRegistry;
 use crate::entry_registry::EntryReport;
 use crate::freshness::FreshnessProof;
@@ -56,12 +58,15 @@
     pub proofs: watch::Receiver<Option<FreshnessProof>>,
     /// Proofs older than this are not sent.
     pub max_proof_age: Duration,
+    /// The connections of the entries.
+    pub connections: Arc<ConnectionOrder>,
 }
 
 /// The entry at the other end of a connection.
 struct ConnectedEntry {
     instance: InstanceId,
     incarnation: Incarnation,
+    number: ConnectionNumber,
     probes: Probes,
 }
 
@@ -69,20 +74,21 @@
     /// Accepts connections until the task is aborted, which also ends the connections.
     pub async fn serve(self, listener: TcpListener) {
         accept::run(listener, "entries", |stream| {
-            self.clone().handle_connection(stream)
+            self.clone()
+                .handle_connection(stream, self.connections.next())
         })
         .await;
     }
 
-    async fn handle_connection(self, stream: TcpStream) {
+    async fn handle_connection(self, stream: TcpStream, number: ConnectionNumber) {
         let address = stream.peer_addr().map(|address| address.to_string());
         let address = address.unwrap_or_else(|_| "an entry".to_owned());
-        if let Err(e) = self.run_session(stream).await {
+        if let Err(e) = self.run_session(stream, number).await {
             warn!("connection from {address} failed: {e}");
         }
     }
 
-    async fn run_session(self, stream: TcpStream) -> Result<()> {
+    async fn run_session(self, stream: TcpStream, number: ConnectionNumber) -> Result<()> {
         stream.set_nodelay(true).ok();
         let (mut rx, mut tx) = stream.into_split();
         let Ok(hello) = timeout(HELLO_TIMEOUT, frame::read(&mut rx)).await else {
@@ -105,6 +111,10 @@
             last_heard_at: clock::now(),
             address: None,
         };
+        if !self.connections.register(&instance, number) {
+            info!("refused a connection from {instance}: it has a newer one");
+            return Ok(());
+        }
         if !self.entry_registry.register(&instance, report) {
             warn!("refused {instance} with incarnation {incarnation}: a later one is known");
             return Ok(());
@@ -113,6 +123,7 @@
         let entry = Arc::new(ConnectedEntry {
             instance,
             incarnation,
+            number,
             probes: Probes::default(),
         });
         let (answers_tx, answers) = mpsc::channel(MAX_QUEUED_ANSWERS);
@@ -120,8 +131,10 @@
             ended = self.clone().read_messages(&mut rx, &entry, answers_tx) => ended,
             ended = self.clone().write_messages(&mut tx, &entry, revision, answers) => ended,
         };
-        self.entry_registry
-            .mark_disconnected(&entry.instance, entry.incarnation);
+        if self.connections.is_newest(&entry.instance, entry.number) {
+            self.entry_registry
+                .mark_disconnected(&entry.instance, entry.incarnation);
+        }
         ended
     }
 
@@ -133,6 +146,13 @@
     ) -> Result<()> {
         let mut calls = JoinSet::new();
         while let Some(message) = frame::read(rx).await? {
+            if !self.connections.is_newest(&entry.instance, entry.number) {
+                info!(
+                    "closing a connection from {}: it has a newer one",
+                    entry.instance
+                );
+                return Ok(());
+            }
             while calls.try_join_next().is_some() {}
             match message {
                 EntryMessage::InForce { revision, probe } => {
--- a/crates/mimosa-control/src/lib.rs
+++ b/crates/mimosa-control/src/lib.rs
@@ -8,11 +8,13 @@
 //! * [`shared`] holds the applied state.
 //! * [`admin`] is the operator HTTP API, [`entry_port`] the TCP port for entries.
 //! * [`peer`] is the TCP protocol between control instances.
+//! * [`connection_order`] tells replaced connections from current ones.
 //! * [`entry_registry`] tracks the revision in force at each entry.
 //! * [`routing`] serves gateways: request placement, endpoint discovery, quotas.
 
 pub mod admin;
 pub mod clock;
+pub mod connection_order;
 pub mod entry_port;
 pub mod entry_registry;
 pub mod freshness;
--- a/crates/mimosa-control/src/peer/inbound.rs
+++ b/crates/mimosa-control/src/peer/inbound.rs
@@ -6,6 +6,7 @@
 use std::sync::mpsc;
 use std::time::Duration;
 
+use log::info;
 use log::warn;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::Result;
@@ -20,6 +21,8 @@
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
+use crate::connection_order::ConnectionNumber;
+use crate::connection_order::ConnectionOrder;
 use crate::entry_registry::EntryRegistry;
 use crate::peer::PeerMessage;
 use crate::peer::ProposeOutcome;
@@ -55,19 +58,22 @@
     pub calls: Arc<PendingCalls>,
     /// Receives the entry reports of other instances.
     pub entry_registry: Arc<EntryRegistry>,
+    /// The connections of the other instances.
+    pub connections: Arc<ConnectionOrder>,
 }
 
 impl Inbound {
     /// Accepts connections until the task is aborted, which also ends the connections.
     pub async fn serve(self, listener: TcpListener) {
         accept::run(listener, "control instances", |stream| {
-            self.clone().handle_connection(stream)
+            self.clone()
+                .handle_connection(stream, self.connections.next())
         })
         .await;
     }
 
-    async fn handle_connection(self, mut stream: TcpStream) {
-        if let Err(e) = self.read_messages(&mut stream).await {
+    async fn handle_connection(self, mut stream: TcpStream, number: ConnectionNumber) {
+        if let Err(e) = self.read_messages(&mut stream, number).await {
             warn!("connection from a control instance failed: {e}");
         }
     }
@@ -75,6 +81,7 @@
     async fn read_messages(
         &self,
         stream: &mut (impl AsyncRead + AsyncWrite + Unpin),
+        number: ConnectionNumber,
     ) -> Result<()> {
         let Ok(hello) = timeout(HELLO_TIMEOUT, frame::read(stream)).await else {
             return Ok(());
@@ -90,8 +97,13 @@
         if let Some(discovered_tx) = &self.discovered_tx {
             discovered_tx.send(instance.clone()).ok();
         }
+        self.connections.register(&instance, number);
         let mut calls = JoinSet::new();
         while let Some(message) = frame::read(stream).await? {
+            if !self.connections.is_newest(&instance, number) {
+                info!("closing a connection from control instance {instance}: it has a newer one");
+                return Ok(());
+            }
             while calls.try_join_next().is_some() {}
             match message {
                 PeerMessage::Consensus(message) => {
--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -16,6 +16,7 @@
 use mimosa_limit::quota::Tolerance;
 use mimosa_protocol::AccountId;
 use mimosa_protocol::EndpointId;
+use mimosa_protocol::Incarnation;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::ServiceId;
 use mimosa_protocol::Timestamp;
@@ -35,6 +36,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use crate::connection_order::ConnectionNumber;
 use crate::replicator::Replicator;
 use crate::routing::balancer::RoleChange;
 use crate::routing::metrics::Metrics;
@@ -127,31 +129,41 @@
         Instant::now() + wake.since(now)
     }
 
-    /// Registers the connection of a gateway, replacing an earlier one. Returns the number of the
-    /// connection.
+    /// Registers the connection of a gateway, replacing an earlier one. If it is of another process,
+    /// the requests of the earlier one ended with it. Returns false if the connection was itself
+    /// replaced.
     pub fn register_gateway(
         &self,
         gateway: &InstanceId,
+        incarnation: Incarnation,
+        connection: ConnectionNumber,
         outbox: mpsc::Sender<ControlMessage>,
-    ) -> u64 {
+    ) -> bool {
+        let now = self.now();
         let mut inner = self.lock();
         let previous = inner.gateways.get(gateway);
-        let connection = previous.map_or(0, |previous| previous.connection) + 1;
-        let gateway_connection = GatewayConnection { connection, outbox };
+        if previous.is_some_and(|previous| previous.connection > connection) {
+            return false;
+        }
+        if previous.is_some_and(|previous| previous.incarnation != incarnation) {
+            info!("gateway={gateway} state=restarted");
+            inner.end_requests(now, gateway);
+        }
+        let gateway_connection = GatewayConnection {
+            connection,
+            incarnation,
+            outbox,
+        };
         inner.gateways.insert(gateway.clone(), gateway_connection);
         inner.disconnected.remove(gateway);
-        connection
+        true
     }
 
     /// Records that a connection ended; ignored if the gateway has a newer one.
-    pub fn gateway_disconnected(&self, gateway: &InstanceId, connection: u64) {
+    pub fn gateway_disconnected(&self, gateway: &InstanceId, connection: ConnectionNumber) {
         let now = self.now();
         let mut inner = self.lock();
-        let is_current = inner
-            .gateways
-            .get(gateway)
-            .is_some_and(|current| current.connection == connection);
-        if is_current {
+        if inner.is_current(gateway, connection) {
             inner
                 .disconnected
                 .insert(gateway.clone(), now + GATEWAY_RECONNECT_TIMEOUT);
@@ -233,14 +245,23 @@
 
     /// Handles a message of a gateway. While this instance does not lead, it answers requests for
     /// placement and quota with [`ControlMessage::NotLeader`] and
-    /// [`ControlMessage::NotLeaderForQuota`].
-    pub fn handle_message(&self, gateway: &InstanceId, message: GatewayMessage) {
+    /// [`ControlMessage::NotLeaderForQuota`]. Returns false, and does nothing, if the connection was
+    /// replaced by a newer one of the gateway.
+    pub fn handle_message(
+        &self,
+        gateway: &InstanceId,
+        connection: ConnectionNumber,
+        message: GatewayMessage,
+    ) -> bool {
         if !self.lock().leads {
             // The gateway may know of this instance's leadership before the next refresh.
             self.refresh();
         }
         let now = self.now();
         let mut inner = self.lock();
+        if !inner.is_current(gateway, connection) {
+            return false;
+        }
         if inner.leads {
             self.configure(now, &mut inner);
         }
@@ -361,6 +382,7 @@
         }
         drop(inner);
         self.wake_changed.notify_one();
+        true
     }
 
     /// Updates leadership and configuration, and runs timed work of the schedulers.
--- a/crates/mimosa-control/src/routing/dispatch/inner.rs
+++ b/crates/mimosa-control/src/routing/dispatch/inner.rs
@@ -17,6 +17,7 @@
 use mimosa_protocol::AccountId;
 use mimosa_protocol::DataCentreId;
 use mimosa_protocol::EndpointId;
+use mimosa_protocol::Incarnation;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::ServiceId;
 use mimosa_protocol::Timestamp;
@@ -40,6 +41,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use crate::connection_order::ConnectionNumber;
 use crate::routing::dispatch::request_index::RequestIndex;
 use crate::routing::metrics::Metrics;
 use crate::routing::published::PublishedList;
@@ -98,7 +100,9 @@
 
 /// The current connection of a gateway.
 pub(super) struct GatewayConnection {
-    pub(super) connection: u64,
+    pub(super) connection: ConnectionNumber,
+    /// The process that opened it.
+    pub(super) incarnation: Incarnation,
     pub(super) outbox: mpsc::Sender<ControlMessage>,
 }
 
@@ -285,16 +289,27 @@
             info!("gateway={gateway} state=forgotten");
             self.disconnected.remove(&gateway);
             self.gateways.remove(&gateway);
-            self.requests.remove_gateway(&gateway);
-            self.charges.retain(|id, _| id.gateway != gateway);
-            let services: Vec<ServiceId> = self.fleets.keys().cloned().collect();
-            for service in &services {
-                let gateway = gateway.clone();
-                self.handle(now, service, Event::GatewayLost { gateway });
-            }
+            self.end_requests(now, &gateway);
+        }
+    }
+
+    /// Ends all requests of a gateway whose process ended.
+    pub(super) fn end_requests(&mut self, now: Timestamp, gateway: &InstanceId) {
+        self.requests.remove_gateway(gateway);
+        self.charges.retain(|id, _| id.gateway != *gateway);
+        let services: Vec<ServiceId> = self.fleets.keys().cloned().collect();
+        for service in &services {
+            let gateway = gateway.clone();
+            self.handle(now, service, Event::GatewayLost { gateway });
         }
     }
 
+    /// Whether a connection is the newest of its gateway.
+    pub(super) fn is_current(&self, gateway: &InstanceId, connection: ConnectionNumber) -> bool {
+        let current = self.gateways.get(gateway);
+        current.is_some_and(|current| current.connection == connection)
+    }
+
     pub(super) fn send(&self, gateway: &InstanceId, message: ControlMessage) {
         let connection = self.gateways.get(gateway);
         let is_sent =
--- a/crates/mimosa-control/src/routing/gateway_port.rs
+++ b/crates/mimosa-control/src/routing/gateway_port.rs
@@ -24,6 +24,8 @@
 use tokio::time::sleep_until;
 use tokio::time::timeout;
 
+use crate::connection_order::ConnectionNumber;
+use crate::connection_order::ConnectionOrder;
 use crate::replicator::Replicator;
 use crate::routing::dispatch::Dispatcher;
 use crate::routing::published::Frame;
@@ -57,30 +59,36 @@
     pub endpoints: watch::Receiver<Arc<PublishedList>>,
     /// Interval of the control state messages; a routing change is sent at once.
     pub heartbeat: Duration,
+    /// The connections of the gateways.
+    pub connections: Arc<ConnectionOrder>,
 }
 
 impl GatewayPort {
     /// Accepts connections until the task is aborted, which also ends the connections.
     pub async fn serve(self, listener: TcpListener) {
         accept::run(listener, "gateways", |stream| {
-            self.clone().handle_connection(stream)
+            self.clone()
+                .handle_connection(stream, self.connections.next())
         })
         .await;
     }
 
-    async fn handle_connection(self, stream: TcpStream) {
-        if let Err(e) = self.run_session(stream).await {
+    async fn handle_connection(self, stream: TcpStream, number: ConnectionNumber) {
+        if let Err(e) = self.run_session(stream, number).await {
             info!("connection from a gateway failed: {e}");
         }
     }
 
-    async fn run_session(self, mut stream: TcpStream) -> Result<()> {
+    async fn run_session(self, mut stream: TcpStream, number: ConnectionNumber) -> Result<()> {
         socket::configure(&stream);
         let Ok(hello) = timeout(HELLO_TIMEOUT, frame::read(&mut stream)).await else {
             return Ok(());
         };
         let Some(GatewayMessage::Hello {
-            cluster, instance, ..
+            cluster,
+            instance,
+            incarnation,
+            ..
         }) = hello?
         else {
             return Ok(());
@@ -89,11 +97,14 @@
             warn!("refused gateway '{instance}': it belongs to cluster '{cluster}'");
             return Ok(());
         }
-        info!("gateway={instance} state=connected");
         let (mut reader, writer) = stream.into_split();
         let (tx, messages) = mpsc::channel(MAX_QUEUED_MESSAGES);
         let dispatcher = Arc::clone(&self.dispatcher);
-        let connection = dispatcher.register_gateway(&instance, tx.clone());
+        if !dispatcher.register_gateway(&instance, incarnation, number, tx.clone()) {
+            info!("gateway={instance} state=refused reason=\"it has a newer connection\"");
+            return Ok(());
+        }
+        info!("gateway={instance} state=connected");
         let (buckets_tx, requested_buckets) = mpsc::channel(1);
         let read_messages = async {
             while let Some(message) = frame::read(&mut reader).await? {
@@ -110,7 +121,12 @@
                             break;
                         }
                     }
-                    message => dispatcher.handle_message(&instance, message),
+                    message => {
+                        if !dispatcher.handle_message(&instance, number, message) {
+                            info!("gateway={instance} state=replaced");
+                            break;
+                        }
+                    }
                 }
             }
             Ok(())
@@ -119,7 +135,7 @@
             ended = read_messages => ended,
             ended = self.clone().write_messages(writer, messages, requested_buckets) => ended,
         };
-        dispatcher.gateway_disconnected(&instance, connection);
+        dispatcher.gateway_disconnected(&instance, number);
         info!("gateway={instance} state=disconnected");
         ended
     }
--- a/crates/mimosa-control/src/server.rs
+++ b/crates/mimosa-control/src/server.rs
@@ -270,6 +270,7 @@
             outbound: Arc::clone(&outbound),
             calls: Arc::clone(&calls),
             entry_registry: Arc::clone(&self.entry_registry),
+            connections: Arc::default(),
         };
         self.tasks.spawn(inbound.serve(listener));
         for link in links {
@@ -300,6 +301,7 @@
             entry_registry: Arc::clone(&self.entry_registry),
             proofs,
             max_proof_age: heartbeat,
+            connections: Arc::default(),
         };
         self.tasks.spawn(port.serve(listener));
         let entry_registry = Arc::clone(&self.entry_registry);
@@ -352,6 +354,7 @@
             shared: Arc::clone(&self.shared),
             endpoints,
             heartbeat: self.settings.heartbeat,
+            connections: Arc::default(),
         };
         self.tasks.spawn(port.serve(listener));
         integration.operators.router(RoutingOrders {
--- a/crates/mimosa-control/tests/dispatch.rs
+++ b/crates/mimosa-control/tests/dispatch.rs
@@ -10,6 +10,7 @@
 use mimosa_control::ControlServer;
 use mimosa_control::Running;
 use mimosa_control::Settings;
+use mimosa_control::peer::PeerMessage;
 use mimosa_control::replicator::BoxFuture;
 use mimosa_control::routing::EndpointSource;
 use mimosa_control::routing::EngineControl;
@@ -45,13 +46,17 @@
 use mimosa_schedule::fleet::GatewayRequestId;
 use mimosa_schedule::fleet::PlacementRequest;
 use mimosa_schedule::fleet::RunEnd;
+use mimosa_state::Operation;
 use mimosa_transport::frame;
 use tempfile::TempDir;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
+/// Time within which a replaced connection is closed after its next message.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(10);
 const KV_CAPACITY: Tokens = Tokens(10_000);
 
 /// Parses every document to the same configuration with one model service.
@@ -146,6 +151,19 @@
 }
 
 async fn start_with(endpoints: StaticEndpoints, engines: AcceptingEngines) -> (Running, TempDir) {
+    let (running, folder, _) = start_with_all(endpoints, engines).await;
+    (running, folder)
+}
+
+async fn start_with_orders() -> (Running, TempDir, RoutingOrders) {
+    let (orders, _) = mpsc::unbounded_channel();
+    start_with_all(ONE_DECODE_ENDPOINT, AcceptingEngines(orders)).await
+}
+
+async fn start_with_all(
+    endpoints: StaticEndpoints,
+    engines: AcceptingEngines,
+) -> (Running, TempDir, RoutingOrders) {
     let folder = tempfile::tempdir().unwrap();
     let own: InstanceId = "127.0.0.1".parse().unwrap();
     let settings = Settings {
@@ -174,7 +192,7 @@
         .unwrap();
     let orders = captured.recv().await.unwrap();
     orders.adopt(b"the document").await.unwrap();
-    (running, folder)
+    (running, folder, orders)
 }
 
 struct Gateway {
@@ -184,6 +202,11 @@
 
 impl Gateway {
     async fn connect(control: &Running, name: &str) -> Self {
+        Self::connect_process(control, name, Incarnation(1)).await
+    }
+
+    /// Connects a certain process of a gateway.
+    async fn connect_process(control: &Running, name: &str, incarnation: Incarnation) -> Self {
         let stream = TcpStream::connect(control.entry_address()).await.unwrap();
         let mut gateway = Self {
             name: name.parse().unwrap(),
@@ -193,6 +216,7 @@
             cluster: "mimosaswitch".to_owned(),
             instance: gateway.name.clone(),
             data_centre: "north".parse().unwrap(),
+            incarnation,
         };
         gateway.send(hello).await;
         gateway
@@ -472,3 +496,90 @@
     sleep(Duration::from_secs(2)).await;
     expect_true!(orders.try_recv().is_err());
 }
+
+/// Guards against messages that a frozen leader reads from a connection that was replaced meanwhile.
+#[tokio::test]
+async fn messages_of_a_replaced_gateway_connection_are_ignored() {
+    let (control, _folder) = start().await;
+    let mut old = Gateway::connect(&control, "10.0.0.1").await;
+    old.request_placement(1).await;
+    while old.next_answer().await != (true, 1) {}
+    let mut new = Gateway::connect(&control, "10.0.0.1").await;
+    new.request_placement(2).await;
+    assert_that!(new.next_answer().await, eq((false, 2)));
+    let end = RunEnd::Aborted;
+    old.send(GatewayMessage::Ended { number: 1, end }).await;
+    old.send(GatewayMessage::ReportActive {
+        numbers: Vec::new(),
+    })
+    .await;
+    let closed = async {
+        while let Ok(Some(ControlMessage::State(_))) = frame::read(&mut old.stream).await {}
+    };
+    assert_that!(timeout(CLOSE_TIMEOUT, closed).await, ok(anything()));
+    new.request_placement(3).await;
+    // The end of the first request would have placed the second one before.
+    assert_that!(new.next_answer().await, eq((false, 3)));
+    // Only the newest connection reports what ended.
+    let numbers = vec![2, 3];
+    new.send(GatewayMessage::ReportActive { numbers }).await;
+    assert_that!(new.next_answer().await, eq((true, 2)));
+}
+
+/// Guards against a placement of an earlier process that reaches a request of the next one.
+#[tokio::test]
+async fn requests_of_an_earlier_process_of_a_gateway_are_ended() {
+    let (control, _folder) = start().await;
+    let mut old = Gateway::connect_process(&control, "10.0.0.1", Incarnation(1)).await;
+    old.request_placement(1).await;
+    while old.next_answer().await != (true, 1) {}
+    old.request_placement(2).await;
+    assert_that!(old.next_answer().await, eq((false, 2)));
+    let mut new = Gateway::connect_process(&control, "10.0.0.1", Incarnation(2)).await;
+    // The numbers start again.
+    new.request_placement(1).await;
+    assert_that!(new.next_answer().await, eq((true, 1)));
+}
+
+/// Guards against commands that a frozen leader reads from a connection that was replaced meanwhile.
+#[tokio::test]
+async fn commands_of_a_replaced_connection_between_control_instances_are_ignored() {
+    let (control, _folder, orders) = start_with_orders().await;
+    let connect = || async {
+        let mut stream = TcpStream::connect(control.peer_address()).await.unwrap();
+        let hello = PeerMessage::Hello {
+            cluster: "mimosaswitch".to_owned(),
+            instance: "127.0.0.2".parse().unwrap(),
+        };
+        frame::write(&mut stream, &hello).await.unwrap();
+        // The reply shows that the hello was handled.
+        frame::write(&mut stream, &PeerMessage::Ping).await.unwrap();
+        let reply: Option<PeerMessage> = frame::read(&mut stream).await.unwrap();
+        assert_that!(reply, some(eq(&PeerMessage::Pong)));
+        stream
+    };
+    let take_out = |name: &str| PeerMessage::Propose {
+        call_id: 1,
+        operation: Operation::SetDataCentreOut {
+            data_centre: name.parse().unwrap(),
+            out: true,
+        },
+    };
+    let mut old = connect().await;
+    let mut new = connect().await;
+    frame::write(&mut old, &take_out("old")).await.unwrap();
+    let closed = timeout(CLOSE_TIMEOUT, frame::read::<PeerMessage>(&mut old)).await;
+    assert_that!(closed.unwrap().unwrap_or_default(), none());
+    frame::write(&mut new, &take_out("new")).await.unwrap();
+    let mut routing = orders.shared.routing_changes();
+    let is_out = |name: &str| {
+        let name = name.parse().unwrap();
+        orders
+            .shared
+            .read(|machine| machine.routing().data_centres_out().contains(&name))
+    };
+    while !is_out("new") {
+        routing.changed().await.unwrap();
+    }
+    assert_that!(is_out("old"), eq(false));
+}
--- a/crates/mimosa-gateway/src/control_link.rs
+++ b/crates/mimosa-gateway/src/control_link.rs
@@ -201,6 +201,7 @@
         cluster: shared.settings.cluster.clone(),
         instance: shared.settings.instance.clone(),
         data_centre: shared.settings.data_centre.clone(),
+        incarnation: shared.incarnation,
     };
     send(outbox, hello);
 }
--- a/crates/mimosa-gateway/src/shared.rs
+++ b/crates/mimosa-gateway/src/shared.rs
@@ -10,6 +10,7 @@
 
 use arc_swap::ArcSwap;
 use mimosa_hold::retry::RetryBudget;
+use mimosa_protocol::Incarnation;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::ServiceId;
 use mimosa_protocol::Timestamp;
@@ -40,6 +41,8 @@
 /// State shared by all requests.
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
+    /// Differs from that of an earlier process of this gateway.
+    pub(crate) incarnation: Incarnation,
     reloadable: ArcSwap<Reloadable>,
     /// Notified when the reloadable settings change.
     pub(crate) reloaded: Notify,
@@ -72,6 +75,7 @@
             reloadable: ArcSwap::from_pointee(settings.reloadable.clone()),
             reloaded: Notify::new(),
             settings,
+            incarnation: Incarnation(u64::from_le_bytes(seed)),
             dialect,
             directory,
             placement: Arc::default(),
--- a/crates/mimosa-route/src/message.rs
+++ b/crates/mimosa-route/src/message.rs
@@ -10,6 +10,7 @@
 use mimosa_protocol::AccountId;
 use mimosa_protocol::DataCentreId;
 use mimosa_protocol::EndpointId;
+use mimosa_protocol::Incarnation;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::RequestRate;
 use mimosa_protocol::ServiceId;
@@ -38,6 +39,9 @@
             instance: InstanceId,
             /// Data centre in which the gateway runs.
             data_centre: DataCentreId,
+            /// Random number of the gateway's process. The requests of an earlier process ended with
+            /// it, and their numbers are used again.
+            incarnation: Incarnation,
         },
         /// Requests the adopted routing document; sent when [`ControlState::version`] is newer than
         /// the gateway's.
