Fetch newer configurations by a timer, and deny nothing while outdated

Cause: with the control instance of its own data centre frozen, a gateway waited 150 ms for it after each announced version and asked another one only when a state arrived after that. States come once a second, so a version a second, shortly before each state, restarted the wait every time. Slow or cut links were ruled out: the gateway applied changes of the endpoint list meanwhile.

The wait starts with the first version that the gateway lacks and ends by a timer, which then asks the other instances in turn. A gateway that knows of a newer version, or has not heard from the leader for 1.5 s, answers 503 with Retry-After in place of 401, 404, 413 and 431.

--- a/crates/mimosa-gateway/src/control_link.rs
+++ b/crates/mimosa-gateway/src/control_link.rs
@@ -11,6 +11,7 @@
 use log::warn;
 use mimosa_limit::leaderless::AbsenceReport;
 use mimosa_protocol::InstanceId;
+use mimosa_route::fetch::FetchAction;
 use mimosa_route::message::ControlMessage;
 use mimosa_route::message::GatewayMessage;
 use mimosa_transport::link;
@@ -37,6 +38,7 @@
     let (members_tx, mut members_rx) = mpsc::unbounded_channel();
     let mut connected = BTreeSet::new();
     let mut tasks = JoinSet::new();
+    tasks.spawn(fetch_documents(Arc::clone(&shared)));
     let seeds = || shared.reloadable().seeds.iter().cloned().collect();
     let mut members: Vec<InstanceId> = seeds();
     loop {
@@ -56,6 +58,27 @@
     }
 }
 
+/// Requests newer routing documents, until the task is aborted.
+async fn fetch_documents(shared: Arc<Shared>) {
+    let directory = &shared.directory;
+    loop {
+        let announced = directory.document_announced.notified();
+        let now = shared.now();
+        match directory.next_fetch(now) {
+            FetchAction::Request(instance) => {
+                info!("dependency=control instance={instance} request=document");
+                shared
+                    .placement
+                    .send_to(&instance, GatewayMessage::RequestDocument);
+            }
+            FetchAction::WaitUntil(due) => {
+                timeout(due.since(now), announced).await.ok();
+            }
+            FetchAction::Idle => announced.await,
+        }
+    }
+}
+
 async fn maintain_connection(
     shared: Arc<Shared>,
     instance: InstanceId,
@@ -114,6 +137,7 @@
 
 fn on_disconnected(shared: &Shared, instance: &InstanceId) {
     shared.placement.on_disconnected(instance);
+    shared.directory.forget_document_of(instance);
     shared.set_gateways(instance, 0);
 }
 
@@ -128,9 +152,7 @@
     match message {
         ControlMessage::State(state) => {
             let is_local = state.data_centre.as_ref() == Some(&shared.settings.data_centre);
-            if directory.apply_state(shared.now(), &state, is_local) {
-                send(outbox, GatewayMessage::RequestDocument);
-            }
+            directory.apply_state(shared.now(), instance, &state, is_local);
             let gateways = shared.set_gateways(instance, state.gateways);
             if let Some(table) = directory.table() {
                 shared.local_quota.configure(shared.now(), &table, gateways);
@@ -223,7 +245,7 @@
 fn send(outbox: &Outbox<GatewayMessage>, message: GatewayMessage) {
     match outbox.send(message) {
         SendOutcome::Queued => {}
-        // The next state message of the instance triggers the request again.
+        // Requests are repeated: of buckets after the next digest, of documents after a timeout.
         SendOutcome::Full | SendOutcome::Gone => info!("dependency=control message=dropped"),
     }
 }
--- a/crates/mimosa-gateway/src/directory.rs
+++ b/crates/mimosa-gateway/src/directory.rs
@@ -29,6 +29,8 @@
 use mimosa_route::DocumentVersion;
 use mimosa_route::ListedEndpoint;
 use mimosa_route::RouteTable;
+use mimosa_route::fetch::DocumentFetch;
+use mimosa_route::fetch::FetchAction;
 use mimosa_route::message::ControlState;
 use mimosa_route::sync;
 use mimosa_route::sync::ListChange;
@@ -39,6 +41,7 @@
 use mimosa_schedule::cold::ColdStart;
 use mimosa_schedule::health::Health;
 use mimosa_schedule::rate_limit::RateLimit;
+use tokio::sync::Notify;
 
 use crate::connection::Pool;
 use crate::dialect::ReportedLoad;
@@ -52,6 +55,8 @@
     data_centres_out: ArcSwap<BTreeSet<DataCentreId>>,
     left: Mutex<LeftEndpoints>,
     sync_state: Mutex<SyncState>,
+    /// Notified when a control instance announces its document.
+    pub(crate) document_announced: Notify,
 }
 
 /// Endpoints that were leaving when they vanished from the list, which may show them again for a
@@ -88,23 +93,15 @@
     routing_index: u64,
     term: u64,
     leader: Option<InstanceId>,
+    /// When the leader last sent its state; `None` before the first one.
+    leader_heard_at: Option<Timestamp>,
     tracker: ListTracker,
-    wanted_document: Option<WantedDocument>,
+    fetch: DocumentFetch,
 }
 
-/// A document that is newer than the current one and still has to be fetched.
-struct WantedDocument {
-    version: DocumentVersion,
-    announced_at: Timestamp,
-    requested_at: Option<Timestamp>,
-}
-
-/// Time to wait for a control instance in the own data centre to have a new document, before the
-/// document is requested from a remote one. The local instance receives it a round trip after the
-/// leader.
-const LOCAL_DOCUMENT_WAIT: Duration = Duration::from_millis(150);
-/// Time to wait for a requested document before it is requested from another instance.
-const DOCUMENT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after the last state of the leader in which the routes count as current. Above the interval of
+/// its states, and below the time within which a change must be in force everywhere.
+const CURRENT_TIME: Duration = Duration::from_millis(1_500);
 
 /// Immutable snapshot of the known endpoints.
 #[derive(Default)]
@@ -212,6 +209,7 @@
             data_centres_out: ArcSwap::default(),
             left: Mutex::default(),
             sync_state: Mutex::default(),
+            document_announced: Notify::new(),
         }
     }
 
@@ -238,10 +236,34 @@
         self.table.load().is_some() && self.sync_state().tracker.is_complete()
     }
 
+    /// Whether the routes are those that a control leader confirmed a moment ago, so that an unknown
+    /// route or key does not exist.
+    pub(crate) fn is_current(&self, now: Timestamp) -> bool {
+        let sync_state = self.sync_state();
+        let heard_at = sync_state.leader_heard_at;
+        let is_fresh = heard_at.is_some_and(|at| now.since(at) < CURRENT_TIME);
+        is_fresh && !sync_state.fetch.is_behind()
+    }
+
+    /// What to do to get a newer document, if one is known.
+    pub(crate) fn next_fetch(&self, now: Timestamp) -> FetchAction {
+        self.sync_state().fetch.next(now)
+    }
+
+    /// Forgets the document of a control instance whose connection was lost.
+    pub(crate) fn forget_document_of(&self, instance: &InstanceId) {
+        self.sync_state().fetch.forget(instance);
+    }
+
     /// Applies the state of a control instance; `is_local` is true if it runs in the own data
-    /// centre. Returns whether to request its document: all instances announce a new document, but
-    /// it is requested from only one of them.
-    pub(crate) fn apply_state(&self, now: Timestamp, state: &ControlState, is_local: bool) -> bool {
+    /// centre.
+    pub(crate) fn apply_state(
+        &self,
+        now: Timestamp,
+        instance: &InstanceId,
+        state: &ControlState,
+        is_local: bool,
+    ) {
         let mut sync_state = self.sync_state();
         if state.term >= sync_state.term {
             sync_state.term = state.term;
@@ -253,6 +275,9 @@
                 );
                 sync_state.leader.clone_from(&state.leader);
             }
+            if state.leader.as_ref() == Some(instance) {
+                sync_state.leader_heard_at = Some(now);
+            }
         }
         if state.routing_index > sync_state.routing_index {
             sync_state.routing_index = state.routing_index;
@@ -267,17 +292,18 @@
                 self.data_centres_out.store(Arc::new(out));
             }
         }
-        match state.version {
-            Some(version) if Some(version) > self.version() => {
-                sync_state.should_request(now, version, is_local)
-            }
-            _ => false,
+        let current = self.version();
+        sync_state
+            .fetch
+            .announce(now, instance, is_local, state.version, current);
+        if sync_state.fetch.is_behind() {
+            self.document_announced.notify_one();
         }
     }
 
     /// Applies a routing document if it is newer.
     pub(crate) fn apply_document(&self, version: DocumentVersion, bytes: &[u8]) {
-        let _sync_state = self.sync_state();
+        let mut sync_state = self.sync_state();
         if Some(version) <= self.version() {
             return;
         }
@@ -290,6 +316,7 @@
                     bytes.len()
                 );
                 self.table.store(Some(Arc::new(RouteTable::new(cfg))));
+                sync_state.fetch.received(version);
             }
             Err(e) => warn!("routing_version={version} outcome=unreadable reason=\"{e}\""),
         }
@@ -401,29 +428,6 @@
     }
 }
 
-impl SyncState {
-    /// Whether to request a document that an instance has.
-    fn should_request(&mut self, now: Timestamp, version: DocumentVersion, is_local: bool) -> bool {
-        let known = self.wanted_document.take();
-        let known = known.filter(|wanted| wanted.version >= version);
-        let mut wanted = known.unwrap_or(WantedDocument {
-            version,
-            announced_at: now,
-            requested_at: None,
-        });
-        let is_requested = wanted
-            .requested_at
-            .is_some_and(|at| now.since(at) < DOCUMENT_TIMEOUT);
-        let may_request = is_local || now.since(wanted.announced_at) >= LOCAL_DOCUMENT_WAIT;
-        let requests = wanted.version == version && may_request && !is_requested;
-        if requests {
-            wanted.requested_at = Some(now);
-        }
-        self.wanted_document = Some(wanted);
-        requests
-    }
-}
-
 impl EndpointSet {
     fn new(by_id: HashMap<EndpointId, Arc<EndpointEntry>>) -> Self {
         let mut active = HashMap::<_, HashMap<_, Vec<_>>>::new();
--- a/crates/mimosa-gateway/src/dispatch.rs
+++ b/crates/mimosa-gateway/src/dispatch.rs
@@ -123,6 +123,16 @@
         }
     }
 
+    /// Sends a message to a control instance. A message that cannot be sent is dropped.
+    pub(crate) fn send_to(&self, instance: &InstanceId, message: GatewayMessage) {
+        let inner = self.lock();
+        let outbox = inner.outboxes.get(instance);
+        let sent = outbox.map(|outbox| outbox.send(message));
+        if sent != Some(SendOutcome::Queued) {
+            info!("dependency=control instance={instance} message=dropped");
+        }
+    }
+
     /// Reports all runs if the instance is the leader; called when its connection is established.
     pub(crate) fn report_running(&self, now: Timestamp, instance: &InstanceId) {
         let mut inner = self.lock();
--- a/crates/mimosa-gateway/src/response.rs
+++ b/crates/mimosa-gateway/src/response.rs
@@ -49,6 +49,8 @@
     NoRoute,
     /// The API key is missing or unknown.
     NoKey,
+    /// The configuration denies the request, but a newer one may allow it.
+    Outdated,
     /// The request head exceeds the limit.
     HeadTooLarge,
     /// The request body exceeds the limit.
@@ -80,7 +82,7 @@
 impl Failure {
     pub(crate) const fn status(&self) -> StatusCode {
         match self {
-            Self::NoConfiguration | Self::NotRun { .. } | Self::Quarantined(_) => {
+            Self::NoConfiguration | Self::Outdated | Self::NotRun { .. } | Self::Quarantined(_) => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
@@ -103,6 +105,9 @@
             Self::NoConfiguration => "no configuration is known yet",
             Self::NoRoute => "no route",
             Self::NoKey => "the key is missing or unknown",
+            Self::Outdated => {
+                "the configuration, which may be outdated, does not allow the request"
+            }
             Self::HeadTooLarge => "the head is too large",
             Self::BodyTooLarge => "the body is too large",
             Self::BodyTooSlow => "the body did not arrive in time",
@@ -115,12 +120,20 @@
         }
     }
 
+    /// Whether the configuration denies the request, so that another one may allow it.
+    pub(crate) const fn is_denied_by_configuration(&self) -> bool {
+        matches!(
+            self,
+            Self::NoRoute | Self::NoKey | Self::HeadTooLarge | Self::BodyTooLarge | Self::OverBurst
+        )
+    }
+
     /// Delay after which a retry may succeed, if any.
     fn retry_after(&self) -> Option<Duration> {
         /// Time within which a new instance receives its configuration.
         const STARTUP_TIME: Duration = Duration::from_millis(500);
         match self {
-            Self::NoConfiguration => Some(STARTUP_TIME),
+            Self::NoConfiguration | Self::Outdated => Some(STARTUP_TIME),
             Self::NotRun { retry_after, .. }
             | Self::OverQuota(retry_after)
             | Self::Quarantined(retry_after) => Some(*retry_after),
--- a/crates/mimosa-gateway/src/serve.rs
+++ b/crates/mimosa-gateway/src/serve.rs
@@ -36,6 +36,7 @@
     let identified = match head::identify(&shared, now, &request) {
         Ok(identified) => identified,
         Err(failure) => {
+            let failure = unless_outdated(&shared, failure);
             let metadata = shared.dialect.read_request(request.headers());
             shared.metrics.record_refusal(failure.reason());
             info!(
@@ -62,6 +63,7 @@
     };
     disconnect_log.is_complete = true;
     let mut response = result.unwrap_or_else(|failure| {
+        let failure = unless_outdated(&shared, failure);
         info!(
             "request={} step=answer outcome={} reason=\"{}\" route={} took_ms={}",
             identified.metadata.attempt_id,
@@ -85,6 +87,16 @@
     Ok(response)
 }
 
+/// The failure, or that the configuration which causes it may be outdated: then the client may retry.
+fn unless_outdated(shared: &Shared, failure: Failure) -> Failure {
+    let is_outdated =
+        failure.is_denied_by_configuration() && !shared.directory.is_current(shared.now());
+    match is_outdated {
+        true => Failure::Outdated,
+        false => failure,
+    }
+}
+
 async fn execute(
     shared: &Arc<Shared>,
     identified: &IdentifiedRequest,
--- a/crates/mimosa-route/src/lib.rs
+++ b/crates/mimosa-route/src/lib.rs
@@ -6,6 +6,7 @@
 //! the document that operators submit.
 
 pub mod endpoint;
+pub mod fetch;
 pub mod message;
 pub mod model;
 pub mod sync;
