Limit the answer to the release of a KV cache

Cause: the gateway collected the whole answer, limited in time only. Heads, trailers, chunk extensions, interim answers and prefill answers were tested at prefill, decode and plain endpoints and are bounded.

The answer is limited to 16 KiB; beyond it the connection is closed.

--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -44,8 +44,9 @@
 use crate::upstream::CallFailure;
 use crate::upstream::ClientRequest;
 
-/// Maximum size of a prefill response, which contains little more than the KV cache handle.
-const MAX_PREFILL_RESPONSE_BYTES: usize = 16 << 10;
+/// Maximum size of the response to a prefill, which contains little more than the KV cache handle, and
+/// to the release of a KV cache.
+const MAX_KV_RESPONSE_BYTES: usize = 16 << 10;
 /// Retry delay for clients when no endpoint had capacity.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Timeout of the call that releases a KV cache.
@@ -539,7 +540,7 @@
     let sent = upstream_response.sent;
     let body = Limited::new(
         upstream_response.response.into_body(),
-        MAX_PREFILL_RESPONSE_BYTES,
+        MAX_KV_RESPONSE_BYTES,
     );
     let body = timeout(time_limit, body.collect()).await;
     let now = shared.now();
@@ -635,8 +636,14 @@
     }
     match connection.send(call).await {
         Ok(response) => {
-            if response.into_body().collect().await.is_ok() {
-                endpoint.pool.put(shared.now(), connection);
+            let body = Limited::new(response.into_body(), MAX_KV_RESPONSE_BYTES);
+            match body.collect().await {
+                Ok(_) => endpoint.pool.put(shared.now(), connection),
+                // The connection is closed, as the rest of the body would precede the next response.
+                Err(e) => info!(
+                    "endpoint={} step=release outcome=\"{e}\" limit_bytes={MAX_KV_RESPONSE_BYTES}",
+                    endpoint.listed.id
+                ),
             }
         }
         Err(e) => info!(
