Limit the small and the collected answers of endpoints at entries

The answer to a recorded call of a plain service had a limit in bytes and none in time.

They are limited to 64 KiB, or 8 MiB for a whole completion, and the recorded answer to the silence limit of endpoints. Beyond it the connection is closed and the request fails as for any broken answer.

--- a/crates/mimosa-entry/src/engine/http.rs
+++ b/crates/mimosa-entry/src/engine/http.rs
@@ -14,7 +14,9 @@
 use axum::http::header::CONTENT_TYPE;
 use axum::http::header::HOST;
 use axum::http::header::TRANSFER_ENCODING;
+use bytes::Bytes;
 use http_body_util::BodyExt;
+use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::Error as ClientError;
@@ -49,6 +51,8 @@
 /// Timeout for the headers, and again for the body, of a small response: to a cancellation, a load
 /// report or an error.
 const SMALL_RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum size of such a response, and of that to a prefill.
+const MAX_SMALL_RESPONSE_BYTES: usize = 64 << 10;
 
 /// HTTP/1.1 client with pooled connections. It never repeats a request by itself.
 pub(crate) struct HttpEngineClient {
@@ -142,11 +146,10 @@
     /// Interprets a response with a status other than 200. Only an explicit `"ran": "no"` proves
     /// that the request was not executed.
     async fn failure_of_response(&self, resp: Response<Incoming>) -> EngineFailure {
-        let body = tokio::time::timeout(SMALL_RESPONSE_TIMEOUT, resp.into_body().collect()).await;
-        let Ok(Ok(body)) = body else {
+        let Ok(body) = read_small(resp.into_body(), SMALL_RESPONSE_TIMEOUT).await else {
             return EngineFailure::DISCONNECTED;
         };
-        match serde_json::from_slice::<ErrorResponse>(&body.to_bytes()) {
+        match serde_json::from_slice::<ErrorResponse>(&body) {
             Ok(error) if error.ran == "no" => EngineFailure::DECLINED,
             _ => EngineFailure::FAILED,
         }
@@ -157,14 +160,19 @@
         req: Request<Body>,
     ) -> Result<T, EngineFailure> {
         let resp = self.send(req, SMALL_RESPONSE_TIMEOUT).await?;
-        let body = resp.into_body().collect();
-        let body = tokio::time::timeout(SMALL_RESPONSE_TIMEOUT, body).await;
-        let body = body.map_err(|_| EngineFailure::TIMED_OUT)?;
-        let body = body.map_err(|_| EngineFailure::DISCONNECTED)?.to_bytes();
+        let body = read_small(resp.into_body(), SMALL_RESPONSE_TIMEOUT).await?;
         serde_json::from_slice(&body).map_err(|_| EngineFailure::WRONG_RESPONSE)
     }
 }
 
+/// Reads a response of at most [`MAX_SMALL_RESPONSE_BYTES`]. The connection of a larger one is closed.
+async fn read_small(body: Incoming, timeout: Duration) -> Result<Bytes, EngineFailure> {
+    let body = Limited::new(body, MAX_SMALL_RESPONSE_BYTES).collect();
+    let body = tokio::time::timeout(timeout, body).await;
+    let body = body.map_err(|_| EngineFailure::TIMED_OUT)?;
+    Ok(body.map_err(|_| EngineFailure::DISCONNECTED)?.to_bytes())
+}
+
 /// A request whose connection was never established was not sent, so it did not run.
 fn failure_of_error(e: &ClientError) -> EngineFailure {
     if e.is_connect() {
@@ -216,10 +224,7 @@
             let resp = self
                 .post_completion(to, attempt, request.kind.path(), body)
                 .await?;
-            let body =
-                tokio::time::timeout(self.response_timeout, resp.into_body().collect()).await;
-            let body = body.map_err(|_| EngineFailure::TIMED_OUT)?;
-            let body = body.map_err(|_| EngineFailure::DISCONNECTED)?.to_bytes();
+            let body = read_small(resp.into_body(), self.response_timeout).await?;
             let prefilled: PrefillResponse =
                 serde_json::from_slice(&body).map_err(|_| EngineFailure::WRONG_RESPONSE)?;
             Ok(KvSource {
--- a/crates/mimosa-entry/src/plain.rs
+++ b/crates/mimosa-entry/src/plain.rs
@@ -236,9 +236,13 @@
             engine_response,
             call,
         } = answered;
-        let body = Limited::new(engine_response.body, MAX_RECORDED_BYTES)
-            .collect()
-            .await;
+        let body = Limited::new(engine_response.body, MAX_RECORDED_BYTES).collect();
+        let time_limit = self.shared.settings.limits.endpoint_silence;
+        let Ok(body) = tokio::time::timeout(time_limit, body).await else {
+            intent.end(LedgerEnd::Unknown);
+            attempt.end(AttemptEnd::Failed);
+            return Err(Refusal::unknown(RefusalReason::Timeout));
+        };
         let is_cut = engine_response.ends_with_connection && attempt.has_endpoint_ended().await;
         let body = match body {
             Ok(body) if !is_cut => body,
--- a/crates/mimosa-entry/src/route/completions.rs
+++ b/crates/mimosa-entry/src/route/completions.rs
@@ -15,6 +15,7 @@
 use axum::response::Response;
 use http_body_util::BodyExt;
 use http_body_util::Collected;
+use http_body_util::Limited;
 use mimosa_hold::events::EventBuffer;
 use mimosa_hold::quarantine::Fingerprint;
 use mimosa_protocol::EndpointId;
@@ -51,6 +52,8 @@
 use crate::sse::Scanner;
 use crate::sse::usage_of;
 
+/// Maximum size of a response that is collected before the caller receives any of it.
+const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// Scheduling weight of anonymous callers.
 const ANONYMOUS_WEIGHT: u32 = 1;
 /// Account under which anonymous callers are queued together.
@@ -351,7 +354,8 @@
 ) -> Result<Response, AttemptFailure> {
     let mut record = admitted.request_record(attempt.endpoint());
     let timeout = admitted.shared.settings.limits.endpoint_silence;
-    let collected = tokio::time::timeout(timeout, engine_response.body.collect()).await;
+    let body = Limited::new(engine_response.body, MAX_RESPONSE_BYTES);
+    let collected = tokio::time::timeout(timeout, body.collect()).await;
     let collected = collected.map(|collected| collected.map(Collected::to_bytes));
     let failure = match collected {
         Ok(Ok(bytes)) if is_json_document(&bytes) => {
--- a/tests/session/main.rs
+++ b/tests/session/main.rs
@@ -4,6 +4,7 @@
 mod addresses;
 mod caller;
 mod demo;
+mod endless;
 mod failures;
 mod payouts;
 mod process;
--- a/tests/session/system.rs
+++ b/tests/session/system.rs
@@ -117,6 +117,14 @@
         system
     }
 
+    /// Replaces the address of the endpoint of a role in the only data centre, before the services are
+    /// created.
+    pub fn replace_endpoint(&mut self, role: &str, address: String) {
+        for endpoint in self.endpoints.iter_mut().filter(|each| each.1 == role) {
+            endpoint.0.clone_from(&address);
+        }
+    }
+
     /// Waits until every control instance is a voter, but not longer than [`MAX_POLLS`] for each.
     async fn wait_for_votes(&mut self) {
         for number in 0..self.controls.len() {
