Take memory for a frame as its bytes arrive, and limit the first one

A frame could take any time after its header.

Memory grows with the bytes that arrive, a hello is at most 64 KiB, also between entries, where it now has a time limit too, and a frame takes at most 60 s after its header.

--- a/crates/mimosa-control/src/entry_port.rs
+++ b/crates/mimosa-control/src/entry_port.rs
@@ -13,6 +13,7 @@
 use mimosa_protocol::message::EntryMessage;
 use mimosa_transport::accept;
 use mimosa_transport::frame;
+use mimosa_transport::frame::MAX_HELLO_BYTES;
 use tokio::io::AsyncWrite;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -91,7 +92,8 @@
     async fn run_session(self, stream: TcpStream, number: ConnectionNumber) -> Result<()> {
         stream.set_nodelay(true).ok();
         let (mut rx, mut tx) = stream.into_split();
-        let Ok(hello) = timeout(HELLO_TIMEOUT, frame::read(&mut rx)).await else {
+        let Ok(hello) = timeout(HELLO_TIMEOUT, frame::read_at_most(&mut rx, MAX_HELLO_BYTES)).await
+        else {
             return Ok(());
         };
         let Some(EntryMessage::Hello {
--- a/crates/mimosa-control/src/peer/inbound.rs
+++ b/crates/mimosa-control/src/peer/inbound.rs
@@ -13,6 +13,7 @@
 use mimosa_state::Operation;
 use mimosa_transport::accept;
 use mimosa_transport::frame;
+use mimosa_transport::frame::MAX_HELLO_BYTES;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::net::TcpListener;
@@ -83,7 +84,8 @@
         stream: &mut (impl AsyncRead + AsyncWrite + Unpin),
         number: ConnectionNumber,
     ) -> Result<()> {
-        let Ok(hello) = timeout(HELLO_TIMEOUT, frame::read(stream)).await else {
+        let Ok(hello) = timeout(HELLO_TIMEOUT, frame::read_at_most(stream, MAX_HELLO_BYTES)).await
+        else {
             return Ok(());
         };
         let Some(PeerMessage::Hello { cluster, instance }) = hello? else {
--- a/crates/mimosa-control/src/routing/gateway_port.rs
+++ b/crates/mimosa-control/src/routing/gateway_port.rs
@@ -12,6 +12,7 @@
 use mimosa_route::message::GatewayMessage;
 use mimosa_transport::accept;
 use mimosa_transport::frame;
+use mimosa_transport::frame::MAX_HELLO_BYTES;
 use mimosa_transport::socket;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -81,7 +82,12 @@
 
     async fn run_session(self, mut stream: TcpStream, number: ConnectionNumber) -> Result<()> {
         socket::configure(&stream);
-        let Ok(hello) = timeout(HELLO_TIMEOUT, frame::read(&mut stream)).await else {
+        let Ok(hello) = timeout(
+            HELLO_TIMEOUT,
+            frame::read_at_most(&mut stream, MAX_HELLO_BYTES),
+        )
+        .await
+        else {
             return Ok(());
         };
         let Some(GatewayMessage::Hello {
--- a/crates/mimosa-entry/src/peers/serve.rs
+++ b/crates/mimosa-entry/src/peers/serve.rs
@@ -1,17 +1,23 @@
 //! Receives messages from other entries over TCP.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::Result;
 use mimosa_transport::accept;
 use mimosa_transport::frame;
+use mimosa_transport::frame::MAX_HELLO_BYTES;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use super::message::PeerMessage;
 use crate::shared::Shared;
 
+/// How long a new connection may take to send its hello.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Accepts connections until the task is aborted, which also closes them.
 pub(crate) async fn run(listener: TcpListener, shared: Arc<Shared>) {
     accept::run(listener, "entries", |stream| {
@@ -28,10 +34,13 @@
 
 /// Handles the messages of a connection. The first one must be a hello of the same cluster.
 async fn receive_messages(mut stream: TcpStream, shared: &Shared) -> Result<()> {
-    let hello = frame::read(&mut stream).await?;
+    let hello = frame::read_at_most(&mut stream, MAX_HELLO_BYTES);
+    let Ok(hello) = timeout(HELLO_TIMEOUT, hello).await else {
+        return Ok(());
+    };
     let Some(PeerMessage::Hello {
         instance, cluster, ..
-    }) = hello
+    }) = hello?
     else {
         return Ok(());
     };
--- a/crates/mimosa-transport/src/frame.rs
+++ b/crates/mimosa-transport/src/frame.rs
@@ -7,6 +7,7 @@
 //! Numbers are little-endian. The checksum is a CRC-32 of the message.
 
 use std::io;
+use std::time::Duration;
 
 use mimosa_protocol::Error;
 use mimosa_protocol::Result;
@@ -16,11 +17,18 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWrite;
 use tokio::io::AsyncWriteExt;
+use tokio::time::timeout;
 
 /// Maximum size of an encoded message, without the header of its frame: 64 MiB. It leaves ample room for a complete configuration, the
 /// largest message.
 pub const MAX_FRAME_BYTES: usize = 64 << 20;
 
+/// Maximum size of the first message on a connection, whose sender is not known yet.
+pub const MAX_HELLO_BYTES: usize = 64 << 10;
+
+/// Time limit of a message after its header.
+const BODY_TIMEOUT: Duration = Duration::from_secs(60);
+
 const HEADER_BYTES: usize = 8;
 
 /// Encodes a message as one frame.
@@ -75,9 +83,21 @@
 ///
 /// # Errors
 ///
-/// [`Error::BadMessage`] if the frame is corrupt or too large, [`Error::Network`] if the stream
-/// fails or ends inside a frame.
+/// [`Error::BadMessage`] if the frame is corrupt or larger than [`MAX_FRAME_BYTES`],
+/// [`Error::Network`] if the stream fails, ends inside a frame or sends one for more than 60 s.
 pub async fn read<T: DeserializeOwned>(stream: &mut (impl AsyncRead + Unpin)) -> Result<Option<T>> {
+    read_at_most(stream, MAX_FRAME_BYTES).await
+}
+
+/// Like [`read`], for a message of at most `max_bytes`.
+///
+/// # Errors
+///
+/// Those of [`read`], with this limit.
+pub async fn read_at_most<T: DeserializeOwned>(
+    stream: &mut (impl AsyncRead + Unpin),
+    max_bytes: usize,
+) -> Result<Option<T>> {
     let mut header = [0; HEADER_BYTES];
     match stream.read_exact(&mut header[..1]).await {
         Ok(_) => {}
@@ -91,15 +111,14 @@
     let [l0, l1, l2, l3, c0, c1, c2, c3] = header;
     let length = u32::from_le_bytes([l0, l1, l2, l3]) as usize;
     let checksum = u32::from_le_bytes([c0, c1, c2, c3]);
-    if length > MAX_FRAME_BYTES {
+    if length > max_bytes {
         return Err(Error::BadMessage {
-            reason: format!("a message of {length} bytes exceeds the maximum frame size"),
+            reason: format!("a message of {length} bytes exceeds the limit of {max_bytes} bytes"),
         });
     }
-    let mut body = vec![0; length];
-    stream
-        .read_exact(&mut body)
-        .await
+    let body = timeout(BODY_TIMEOUT, read_body(stream, length)).await;
+    let body = body
+        .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
         .map_err(|source| network("read from", source))?;
     if crc32fast::hash(&body) != checksum {
         return Err(Error::BadMessage {
@@ -109,6 +128,16 @@
     postcard::from_bytes(&body).map(Some).map_err(bad_message)
 }
 
+/// Reads the body of a frame. Memory grows with the bytes that arrive, not with the announced length.
+async fn read_body(stream: &mut (impl AsyncRead + Unpin), length: usize) -> io::Result<Vec<u8>> {
+    let mut body = Vec::with_capacity(length.min(MAX_HELLO_BYTES));
+    stream.take(length as u64).read_to_end(&mut body).await?;
+    match body.len() == length {
+        true => Ok(body),
+        false => Err(io::ErrorKind::UnexpectedEof.into()),
+    }
+}
+
 fn bad_message(e: postcard::Error) -> Error {
     Error::BadMessage {
         reason: e.to_string(),
