Answer every request before the end of a planned stop

Another operator saw requests that came late in the grace of a planned stop cut without an answer at its end, also unrepeatable ones. Here a gateway accepted any request but streams for 85 percent of the drain time, cut what was in work at its end, and could drain for twice its time. An entry cut what was in work.

Requests with a deadline after the last answers are accepted only in the first quarter. At 94 percent of the drain time each request without an answer gets one: not run if that is certain, else unknown. The drain time counts once.

--- a/crates/mimosa-entry/src/filter/drain.rs
+++ b/crates/mimosa-entry/src/filter/drain.rs
@@ -1,4 +1,4 @@
-//! Refuses new requests while the instance drains.
+//! Refuses new requests while the instance drains, and answers those that its end would cut off.
 
 use std::sync::Arc;
 
@@ -21,5 +21,12 @@
         let refusal = Refusal::not_run(RefusalReason::Draining);
         return problem::response(&refusal.retry_after(Shared::RETRY_DELAY));
     }
-    next.run(req).await
+    tokio::select! {
+        biased;
+        response = next.run(req) => response,
+        // Dropping the request cancels it at its endpoint, which may have executed it.
+        () = shared.last_answer_due() => {
+            problem::response(&Refusal::unknown(RefusalReason::Draining))
+        }
+    }
 }
--- a/crates/mimosa-entry/src/server.rs
+++ b/crates/mimosa-entry/src/server.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::Weak;
-use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use axum::Router;
@@ -36,6 +35,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::Semaphore;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::configuration_store::ConfigurationStore;
@@ -144,7 +144,7 @@
         freshness: Mutex::new(freshness::Freshness::new(freshness)),
         configuration: ConfigurationStore::default(),
         metrics: Metrics::new(),
-        draining: AtomicBool::new(false),
+        drain_started: watch::Sender::default(),
         failed_endpoints: Mutex::default(),
         peer_address,
         network,
--- a/crates/mimosa-entry/src/shared.rs
+++ b/crates/mimosa-entry/src/shared.rs
@@ -6,8 +6,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::Weak;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use mimosa_config::EntrySettings;
@@ -20,6 +18,9 @@
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::configuration::ClientAccount;
 use mimosa_transport::clock::Clock;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
 
 use crate::configuration_store::ConfigurationStore;
 use crate::engine::EngineClient;
@@ -54,7 +55,8 @@
     pub(crate) engine_client: Arc<dyn EngineClient>,
     pub(crate) control: ControlLink,
     pub(crate) metrics: Metrics,
-    pub(crate) draining: AtomicBool,
+    /// When the drain started; `None` before.
+    pub(crate) drain_started: watch::Sender<Option<Instant>>,
     /// Endpoints that failed an attempt since their last probe.
     pub(crate) failed_endpoints: Mutex<HashSet<EndpointId>>,
 }
@@ -73,7 +75,21 @@
 
     /// Refuses new requests from now on.
     pub(crate) fn drain(&self) {
-        self.draining.store(true, Ordering::Relaxed);
+        self.drain_started.send_replace(Some(Instant::now()));
+    }
+
+    /// Waits until requests without an answer must get a final one, as the process ends soon.
+    pub(crate) async fn last_answer_due(&self) {
+        /// Part of the drain time, in thousandths, until then.
+        const LAST_ANSWER_PERMILLE: u32 = 940;
+        let mut drain_started = self.drain_started.subscribe();
+        let started = drain_started.wait_for(Option::is_some).await;
+        let started = started.ok().and_then(|started| *started);
+        let until = self.settings.limits.drain_time * LAST_ANSWER_PERMILLE / 1_000;
+        match started {
+            Some(started) => sleep_until(started + until).await,
+            None => std::future::pending().await,
+        }
     }
 
     pub(crate) fn honours_keys_of(&self, account: &ClientAccount) -> bool {
@@ -114,7 +130,7 @@
     }
 
     pub(crate) fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+        self.drain_started.borrow().is_some()
     }
 }
 
--- a/crates/mimosa-gateway/src/head.rs
+++ b/crates/mimosa-gateway/src/head.rs
@@ -1,6 +1,7 @@
 //! Resolution of the route, account and service of a request.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use hyper::Request;
@@ -28,6 +29,8 @@
     pub(crate) waiting_since: Timestamp,
     /// Earlier of the client's and the route's deadline.
     pub(crate) deadline: Timestamp,
+    /// Whether an endpoint may have executed the request.
+    pub(crate) may_have_run: Arc<AtomicBool>,
 }
 
 impl IdentifiedRequest {
@@ -80,6 +83,7 @@
         arrived: now,
         waiting_since: now,
         deadline: now + timeout,
+        may_have_run: Arc::default(),
     })
 }
 
--- a/crates/mimosa-gateway/src/serve.rs
+++ b/crates/mimosa-gateway/src/serve.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hyper::Request;
@@ -26,6 +27,11 @@
 /// Retry delay for clients rejected during shutdown; short, because another instance can serve them
 /// immediately.
 const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(20);
+/// The request was not executed, as the instance shuts down.
+const SHUTDOWN: Failure = Failure::NotRun {
+    reason: "this instance shuts down",
+    retry_after: SHUTDOWN_RETRY_AFTER,
+};
 
 /// Handles one client request. Failures become error responses.
 pub(crate) async fn handle(
@@ -53,13 +59,20 @@
         request: &identified,
         is_complete: false,
     };
-    let result = if shared.rejects_new_request(now, identified.route.retry_policy) {
-        Err(Failure::NotRun {
-            reason: "this instance shuts down",
-            retry_after: SHUTDOWN_RETRY_AFTER,
-        })
+    let retry_policy = identified.route.retry_policy;
+    let result = if shared.rejects_new_request(now, retry_policy, identified.deadline) {
+        Err(SHUTDOWN)
     } else {
-        execute(&shared, &identified, request).await
+        tokio::select! {
+            biased;
+            result = execute(&shared, &identified, request) => result,
+            () = shared.last_answer_due() => {
+                match identified.may_have_run.load(Ordering::Relaxed) {
+                    true => Err(Failure::Lost("this instance shuts down")),
+                    false => Err(SHUTDOWN),
+                }
+            }
+        }
     };
     disconnect_log.is_complete = true;
     let mut response = result.unwrap_or_else(|failure| {
--- a/crates/mimosa-gateway/src/server.rs
+++ b/crates/mimosa-gateway/src/server.rs
@@ -27,8 +27,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::client_connection::ActivityTracker;
 use crate::control_link;
@@ -184,8 +185,9 @@
 /// Finishes requests in flight. The platform may open new connections until it notices that this
 /// instance is not ready; those are served as well, one request each.
 async fn drain(listener: TcpListener, shared: &Arc<Shared>, graceful: GracefulShutdown) {
+    let end = Instant::now() + shared.reloadable().drain_time;
     let late_connections = GracefulShutdown::new();
-    let finished = timeout(shared.reloadable().drain_time, graceful.shutdown());
+    let finished = timeout_at(end, graceful.shutdown());
     tokio::pin!(finished);
     loop {
         tokio::select! {
@@ -206,10 +208,9 @@
             }
         }
     }
-    if timeout(shared.reloadable().drain_time, late_connections.shutdown())
-        .await
-        .is_err()
-    {
+    // Refuses further connections, which would wait in the backlog until the process ends.
+    drop(listener);
+    if timeout_at(end, late_connections.shutdown()).await.is_err() {
         warn!(
             "requests accepted while draining did not finish within the drain time of {:?}; \
              they end with the process",
--- a/crates/mimosa-gateway/src/shared.rs
+++ b/crates/mimosa-gateway/src/shared.rs
@@ -18,6 +18,7 @@
 use mimosa_schedule::rate_limit::Senders;
 use mimosa_transport::clock::Clock;
 use tokio::sync::Notify;
+use tokio::time::sleep;
 
 use crate::dialect::Dialect;
 use crate::directory::Directory;
@@ -34,6 +35,9 @@
 const STREAM_ACCEPT_PERMILLE: u32 = 250;
 /// Part of the drain time, in thousandths, during which other requests are accepted.
 const PLAIN_ACCEPT_PERMILLE: u32 = 850;
+/// Part of the drain time, in thousandths, after which requests without an answer get a final one, so
+/// that it arrives before the process ends.
+const LAST_ANSWER_PERMILLE: u32 = 940;
 
 /// Number of gateways assumed until a control instance reports it.
 const ASSUMED_GATEWAYS: u32 = 8;
@@ -55,6 +59,8 @@
     pub(crate) metrics: Metrics,
     /// Start of the drain in microseconds; 0 if the gateway is not draining.
     drain_started_us: AtomicU64,
+    /// Notified when the drain starts.
+    drain_started: Notify,
     /// Number of gateways that share cluster-wide limits.
     pub(crate) gateways: AtomicU32,
     /// Number of gateways that each connected control instance counts.
@@ -83,6 +89,7 @@
             suspects: KnownSuspects::default(),
             metrics: Metrics::new(),
             drain_started_us: AtomicU64::new(0),
+            drain_started: Notify::new(),
             gateways: AtomicU32::new(ASSUMED_GATEWAYS),
             gateway_counts: Mutex::default(),
             retry_budgets: Mutex::default(),
@@ -144,24 +151,46 @@
     pub(crate) fn drain(&self) {
         let now = self.now().as_micros();
         self.drain_started_us.store(now, Ordering::Relaxed);
+        self.drain_started.notify_waiters();
     }
 
     pub(crate) fn is_draining(&self) -> bool {
         self.drain_started_us.load(Ordering::Relaxed) > 0
     }
 
-    /// Whether a new request would probably be cut off by the end of the drain time.
-    pub(crate) fn rejects_new_request(&self, now: Timestamp, retry_policy: RetryPolicy) -> bool {
+    /// The time at this part of the drain time, in thousandths; `None` if the gateway is not draining.
+    fn drain_at(&self, permille: u32) -> Option<Timestamp> {
         let started = Timestamp(self.drain_started_us.load(Ordering::Relaxed));
-        if started == Timestamp::ZERO {
-            return false;
-        }
-        let permille = if retry_policy.is_stream() {
-            STREAM_ACCEPT_PERMILLE
-        } else {
-            PLAIN_ACCEPT_PERMILLE
+        let elapsed = self.reloadable().drain_time * permille / 1_000;
+        (started != Timestamp::ZERO).then(|| started + elapsed)
+    }
+
+    /// Whether the end of the drain time may cut off a new request. Streams and requests with a late
+    /// deadline are accepted only at first, while the platform still sends requests here.
+    pub(crate) fn rejects_new_request(
+        &self,
+        now: Timestamp,
+        retry_policy: RetryPolicy,
+        deadline: Timestamp,
+    ) -> bool {
+        let is_after = |permille| self.drain_at(permille).is_some_and(|at| now > at);
+        let ends_late = || {
+            let last_answer = self.drain_at(LAST_ANSWER_PERMILLE);
+            last_answer.is_some_and(|last_answer| deadline > last_answer)
         };
-        now.since(started) > self.reloadable().drain_time * permille / 1_000
+        is_after(PLAIN_ACCEPT_PERMILLE)
+            || is_after(STREAM_ACCEPT_PERMILLE) && (retry_policy.is_stream() || ends_late())
+    }
+
+    /// Waits until requests without an answer must get a final one, as the process ends soon.
+    pub(crate) async fn last_answer_due(&self) {
+        loop {
+            let drain_started = self.drain_started.notified();
+            if let Some(due) = self.drain_at(LAST_ANSWER_PERMILLE) {
+                return sleep(due.since(self.now())).await;
+            }
+            drain_started.await;
+        }
     }
 
     /// Deposits part of a retry in the budget of a service for a request to it.
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -249,6 +249,10 @@
     };
     let is_first = connection.is_new();
     let sent = shared.now();
+    // A prefill alone does not execute the request.
+    if !matches!(step, Step::Prefill) {
+        request.may_have_run.store(true, Ordering::Relaxed);
+    }
     let outgoing = outgoing(
         shared,
         request,
--- a/tests/session/main.rs
+++ b/tests/session/main.rs
@@ -7,6 +7,7 @@
 mod endless;
 mod failures;
 mod payouts;
+mod planned_stop;
 mod process;
 mod reload;
 mod setup;
--- a/tests/session/setup.rs
+++ b/tests/session/setup.rs
@@ -113,7 +113,14 @@
 }
 
 /// Starts an entry with a heartbeat and a lease shorter than the defaults, for fast failover.
-pub fn start_entry(folder: &TempDir, name: &str, data_centre: &str, control: &str) -> Process {
+/// `limits` are further lines of its settings.
+pub fn start_entry(
+    folder: &TempDir,
+    name: &str,
+    data_centre: &str,
+    control: &str,
+    limits: &str,
+) -> Process {
     let text = format!(
         r#"
 [instance]
@@ -129,6 +136,9 @@
 [entry.membership]
 heartbeat = "50ms"
 lease = "300ms"
+
+[entry.limits]
+{limits}
 "#
     );
     Process::start(&["entry", &write_settings(folder, name, &text)])
--- a/tests/session/system.rs
+++ b/tests/session/system.rs
@@ -57,6 +57,15 @@
 
     /// Like [`System::start`], with a number of control instances.
     pub async fn start_with(replicas: usize, names: &[(&'static str, &'static str)]) -> Self {
+        Self::start_with_limits(replicas, names, "").await
+    }
+
+    /// Like [`System::start_with`], with lines for the limits in the settings of each entry.
+    pub async fn start_with_limits(
+        replicas: usize,
+        names: &[(&'static str, &'static str)],
+        limits: &str,
+    ) -> Self {
         let folder = TempDir::new().expect("a temporary folder can be created");
         let (operator_key, digest) = new_operator_key();
         let reserved: Vec<_> = (0..replicas).map(|_| ReservedAddress::new()).collect();
@@ -75,7 +84,7 @@
         let mut entries = BTreeMap::new();
         let mut endpoints = Vec::new();
         for (name, data_centre) in names {
-            let mut entry = start_entry(&folder, name, data_centre, &control_address_list);
+            let mut entry = start_entry(&folder, name, data_centre, &control_address_list, limits);
             let caller_address = entry.read_value("callers");
             entries.insert(*name, (entry, caller_address));
         }
