Test answers whose head is cut, at entries

The same report as at gateways: an endpoint that closes in the middle of its head. Entries answer with a failure at plain and decode endpoints, with heads that have a length, chunks or neither. An entry sends little to an endpoint that broke a connection, so that five places of each head are cut and not every byte. No code changes.

--- a/tests/session/main.rs
+++ b/tests/session/main.rs
@@ -3,6 +3,7 @@
 
 mod addresses;
 mod caller;
+mod cut_head;
 mod demo;
 mod endless;
 mod failures;
