Take a new connection as a sign of life only if it stays open

Cause: the kernel closes the sockets of a killed process one after the other, and a backlog accepts until the listener is closed. The framing and the events were ruled out; the log says complete, framing=close.

The connection must stay open for 60 ms; if the endpoint closes it and all others end, the process has ended.

--- a/crates/mimosa-gateway/src/connection.rs
+++ b/crates/mimosa-gateway/src/connection.rs
@@ -37,8 +37,8 @@
 /// Part of the endpoint's keep-alive timeout that is used, in tenths. The rest is a margin for
 /// network latency.
 const KEEP_ALIVE_TENTHS: u32 = 7;
-/// Time in which the ends of all connections of a crashed endpoint are noticed. An endpoint that
-/// refuses connections but is well delays the end of a response by it.
+/// Time in which the ends of all connections of a crashed endpoint are noticed. The end of a response
+/// that only the end of its connection marks is delayed by it.
 const CRASH_NOTICE_TIME: Duration = Duration::from_millis(60);
 const CRASH_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Maximum size of a response head. Bytes of a head without end are not read beyond it.
@@ -105,12 +105,18 @@
         Connection::open(self.0.address, &self.0.open_connections).await
     }
 
-    /// Whether the endpoint's process has ended: its address refuses connections and none is open.
-    /// An endpoint at its connection limit may refuse them as well. A connection that is opened to
-    /// find out is kept for the next request.
+    /// Whether the endpoint's process has ended: its address refuses or closes a new connection, and
+    /// none is open. An endpoint at its connection limit may do so as well, but keeps the others. A
+    /// connection that is opened to find out is kept for the next request.
     pub(crate) async fn has_ended(&self, now: impl Fn() -> Timestamp) -> bool {
         match Connection::open(self.0.address, &self.0.open_connections).await {
+            // A process that is killed closes its sockets one after the other, the listener perhaps
+            // last; the connections that wait there are closed with it.
             Ok(connection) => {
+                if connection.closes_within(CRASH_NOTICE_TIME).await {
+                    drop(connection);
+                    return self.have_all_ended().await;
+                }
                 self.put(now(), connection);
                 false
             }
@@ -209,6 +215,16 @@
         Ok(response)
     }
 
+    /// Whether the peer closes the connection within this time.
+    async fn closes_within(&self, time: Duration) -> bool {
+        let closed = async {
+            while !self.sender.is_closed() {
+                sleep(CRASH_POLL_INTERVAL).await;
+            }
+        };
+        timeout(time, closed).await.is_ok()
+    }
+
     pub(crate) const fn is_new(&self) -> bool {
         self.is_new
     }
