Check answers of draining endpoints that end with their connection

Cause: the check whether an endpoint's process ended with its answer left out endpoints that drain, since they may end after their last answer. No evidence tells the two apart, and an answer that ends early must not look complete, so the check now covers all endpoints.

--- a/crates/mimosa-gateway/src/relay.rs
+++ b/crates/mimosa-gateway/src/relay.rs
@@ -276,12 +276,11 @@
         }
     }
 
-    /// Starts to check whether the endpoint crashed when its response ended, if only the end of the
-    /// connection marks the end. A draining endpoint may end after its last response.
+    /// Starts to check whether the endpoint ended with its response, if only the end of the connection
+    /// marks the end. A draining endpoint may end after its last response, or be stopped in the middle
+    /// of it; the response then counts as truncated, as nothing tells it from one that is.
     fn start_crash_check(&mut self) -> bool {
-        let endpoints = self.shared.directory.endpoints();
-        let is_active = endpoints.get(&self.endpoint.listed.id).is_some();
-        if self.framing != Framing::Close || !is_active {
+        if self.framing != Framing::Close {
             return false;
         }
         let shared = Arc::clone(&self.shared);
