Connect to an endpoint only after its connections have ended

The watch on a new connection, added with the sign of life, held one for 60 ms for each broken answer.

The order is turned round: wait until all other connections have ended, at most 60 ms, and connect once after that time. Nothing is opened while any connection lives.

--- a/crates/mimosa-gateway/src/connection.rs
+++ b/crates/mimosa-gateway/src/connection.rs
@@ -105,22 +105,22 @@
         Connection::open(self.0.address, &self.0.open_connections).await
     }
 
-    /// Whether the endpoint's process has ended: its address refuses or closes a new connection, and
-    /// none is open. An endpoint at its connection limit may do so as well, but keeps the others. A
-    /// connection that is opened to find out is kept for the next request.
+    /// Whether the endpoint's process has ended: no connection is open, and its address refuses a new
+    /// one. An endpoint at its connection limit may refuse as well, but keeps the others. A connection
+    /// that is opened to find out is kept for the next request.
     pub(crate) async fn has_ended(&self, now: impl Fn() -> Timestamp) -> bool {
+        // A process that is killed closes its sockets one after the other, the listener perhaps last.
+        let listener_closed = sleep(CRASH_NOTICE_TIME);
+        if !self.have_all_ended().await {
+            return false;
+        }
+        listener_closed.await;
         match Connection::open(self.0.address, &self.0.open_connections).await {
-            // A process that is killed closes its sockets one after the other, the listener perhaps
-            // last; the connections that wait there are closed with it.
             Ok(connection) => {
-                if connection.closes_within(CRASH_NOTICE_TIME).await {
-                    drop(connection);
-                    return self.have_all_ended().await;
-                }
                 self.put(now(), connection);
                 false
             }
-            Err(e) => e == PoolError::Refused && self.have_all_ended().await,
+            Err(e) => e == PoolError::Refused,
         }
     }
 
@@ -215,16 +215,6 @@
         Ok(response)
     }
 
-    /// Whether the peer closes the connection within this time.
-    async fn closes_within(&self, time: Duration) -> bool {
-        let closed = async {
-            while !self.sender.is_closed() {
-                sleep(CRASH_POLL_INTERVAL).await;
-            }
-        };
-        timeout(time, closed).await.is_ok()
-    }
-
     pub(crate) const fn is_new(&self) -> bool {
         self.is_new
     }
