Limit the time of heads and bodies of operators' requests

Found while listing the limits on what is read from outside: a sender that sent the head or the body of a request without end kept its connection to the operator API for good. Bodies were limited in size only.

Heads and bodies have 30 s each; a late body is answered with 408 and its connection closed.

--- a/crates/mimosa-control/src/admin.rs
+++ b/crates/mimosa-control/src/admin.rs
@@ -5,15 +5,36 @@
 //! `unknown` if the operator must resend the same order to learn its outcome.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use axum::Router;
+use axum::body::Body;
 use axum::extract::DefaultBodyLimit;
+use axum::extract::Request;
+use axum::http::StatusCode;
 use axum::middleware;
+use axum::middleware::Next;
+use axum::response::IntoResponse;
+use axum::response::Response;
 use axum::routing::get;
 use axum::routing::post;
+use futures_util::stream;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::service::TowerToHyperService;
+use log::debug;
 use log::warn;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout_at;
 
 use crate::entry_registry::EntryRegistry;
 use crate::replicator::Replicator;
@@ -28,6 +49,12 @@
 pub mod view;
 
 const MAX_BODY_BYTES: usize = 256 << 10;
+/// Time for the head of a request, also after an earlier request on the connection.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time for the body of a request.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Delay after a failed accept, for example when the process is out of file descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// State shared by the request handlers.
 #[derive(Clone)]
@@ -42,16 +69,65 @@
     pub entry_registry: Arc<EntryRegistry>,
 }
 
-/// Serves HTTP until `stopped` becomes true, then finishes running requests.
+/// Serves HTTP until `stopped` becomes true, then finishes running requests. A client that sends its
+/// head or body too slowly loses its connection.
 pub async fn serve(router: Router, listener: TcpListener, mut stopped: watch::Receiver<bool>) {
-    let stop = async move {
-        stopped.wait_for(|stopped| *stopped).await.ok();
-    };
-    let served = axum::serve(listener, router)
-        .with_graceful_shutdown(stop)
-        .await;
-    if let Err(e) = served {
-        warn!("operator HTTP server failed: {e}");
+    let router = router.layer(middleware::from_fn(limit_body_time));
+    let connections = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopped.wait_for(|stopped| *stopped) => break,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let connection = http1::Builder::new()
+                    .timer(TokioTimer::new())
+                    .header_read_timeout(HEAD_TIMEOUT)
+                    .serve_connection(
+                        TokioIo::new(stream),
+                        TowerToHyperService::new(router.clone()),
+                    );
+                let connection = connections.watch(connection);
+                tokio::spawn(async move {
+                    if let Err(e) = connection.await {
+                        debug!("connection from an operator ended: {e}");
+                    }
+                });
+            }
+            Err(e) => {
+                warn!("cannot accept a connection from an operator: {e}");
+                sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+    drop(listener);
+    connections.shutdown().await;
+}
+
+/// Answers 408 unless the body arrives in time. The size of the body is limited by the handlers.
+async fn limit_body_time(request: Request, next: Next) -> Response {
+    let deadline = Instant::now() + BODY_TIMEOUT;
+    let (head, body) = request.into_parts();
+    let is_late = Arc::new(AtomicBool::new(false));
+    let late = Arc::clone(&is_late);
+    let chunks = stream::unfold(body, move |mut body| {
+        let late = Arc::clone(&late);
+        async move {
+            match timeout_at(deadline, body.frame()).await {
+                Ok(frame) => frame.map(|frame| (frame.map_err(axum::Error::new), body)),
+                Err(e) => {
+                    late.store(true, Ordering::Relaxed);
+                    Some((Err(axum::Error::new(e)), Body::empty()))
+                }
+            }
+        }
+    });
+    let body = Body::new(StreamBody::new(chunks));
+    let response = next.run(Request::from_parts(head, body)).await;
+    match is_late.load(Ordering::Relaxed) {
+        true => StatusCode::REQUEST_TIMEOUT.into_response(),
+        false => response,
     }
 }
 
