Types and messages of rollouts

Cause: gateways and the leader need shared types before either half of rollouts can be built. Neither side acts on them yet.

--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -376,7 +376,8 @@
                     _ => {}
                 }
             }
-            GatewayMessage::Hello { .. }
+            GatewayMessage::ReportRollout(_)
+            | GatewayMessage::Hello { .. }
             | GatewayMessage::RequestDocument
             | GatewayMessage::RequestEndpoints { .. } => {}
         }
--- a/crates/mimosa-control/src/routing/gateway_port.rs
+++ b/crates/mimosa-control/src/routing/gateway_port.rs
@@ -230,6 +230,7 @@
             gateways: self.dispatcher.gateways(),
             data_centres_out,
             routing_index,
+            rollouts: Vec::new(),
         };
         Ok(frame::encode(&ControlMessage::State(state))?.into())
     }
--- a/crates/mimosa-control/tests/dispatch.rs
+++ b/crates/mimosa-control/tests/dispatch.rs
@@ -107,6 +107,7 @@
             slots: 64,
             cold_remaining: Duration::ZERO,
             started_at_ms: 1,
+            version: None,
         });
         let endpoints = endpoints.collect();
         Box::pin(async move { Ok(endpoints) })
--- a/crates/mimosa-gateway/src/control_link.rs
+++ b/crates/mimosa-gateway/src/control_link.rs
@@ -210,6 +210,8 @@
             retry_after,
         } => shared.placement.on_rejected(number, reason, retry_after),
         ControlMessage::NotLeader { number } => shared.placement.on_not_leader(number),
+        // Gateways send no reports of rollouts yet, so they get no permits.
+        ControlMessage::GrantPermits(_) => {}
         ControlMessage::Suspects(suspects) => {
             if let Some(report) = shared.suspects.on_suspects(shared.now(), &suspects) {
                 shared.placement.send_to_leader(report);
--- a/crates/mimosa-protocol/src/id.rs
+++ b/crates/mimosa-protocol/src/id.rs
@@ -113,6 +113,8 @@
     KeyId, "key";
     /// Name of a model or a plain HTTP service.
     ServiceId, "service";
+    /// Name of a software version of a service.
+    ServiceVersion, "service version";
     /// Name of a data centre that holds endpoints and instances.
     DataCentreId, "data centre";
     /// Name of a back end of one service.
--- a/crates/mimosa-protocol/src/lib.rs
+++ b/crates/mimosa-protocol/src/lib.rs
@@ -38,6 +38,7 @@
 pub use crate::id::RequestId;
 pub use crate::id::Revision;
 pub use crate::id::ServiceId;
+pub use crate::id::ServiceVersion;
 pub use crate::outcome::ExecutionStatus;
 pub use crate::outcome::Refusal;
 pub use crate::outcome::RefusalReason;
--- /dev/null
+++ b/crates/mimosa-rollout/src/lib.rs
@@ -0,0 +1,15 @@
+//! Rollouts: moving a service to a new version while limiting what a bad version can harm.
+//!
+//! * [`rollout`] defines the phases of a rollout and the view of it that gateways have.
+//! * [`message`] defines the reports of gateways and the permits of the leader.
+
+pub mod message;
+pub mod rollout;
+
+pub use crate::message::DurationHistogram;
+pub use crate::message::OutcomeCounts;
+pub use crate::message::PermitGrant;
+pub use crate::message::RolloutReport;
+pub use crate::rollout::RolloutNumber;
+pub use crate::rollout::RolloutPhase;
+pub use crate::rollout::RolloutView;
--- a/crates/mimosa-route/src/endpoint.rs
+++ b/crates/mimosa-route/src/endpoint.rs
@@ -6,6 +6,7 @@
 use mimosa_protocol::DataCentreId;
 use mimosa_protocol::EndpointId;
 use mimosa_protocol::ServiceId;
+use mimosa_protocol::ServiceVersion;
 use mimosa_protocol::configuration::EndpointRole;
 use mimosa_protocol::configuration::EndpointState;
 use mimosa_protocol::data;
@@ -32,6 +33,8 @@
         /// Start time in milliseconds since the Unix epoch; distinguishes restarts under the same
         /// identifier.
         pub started_at_ms: u64,
+        /// Software version of the endpoint; `None` if the source names none that is valid.
+        pub version: Option<ServiceVersion>,
     }
 
     /// Endpoint list as last read by one control instance.
--- a/crates/mimosa-route/src/message.rs
+++ b/crates/mimosa-route/src/message.rs
@@ -16,6 +16,9 @@
 use mimosa_protocol::ServiceId;
 use mimosa_protocol::Tokens;
 use mimosa_protocol::data;
+use mimosa_rollout::PermitGrant;
+use mimosa_rollout::RolloutReport;
+use mimosa_rollout::RolloutView;
 use mimosa_schedule::fleet::Placement;
 use mimosa_schedule::fleet::PlacementRefusal;
 use mimosa_schedule::fleet::PlacementRequest;
@@ -143,6 +146,8 @@
             /// Highest rate that it takes from all gateways together; `None` if it has no limit any more.
             max_rate: Option<RequestRate>,
         },
+        /// Requests, permits and outcomes of a running rollout; at most every 250 ms for each.
+        ReportRollout(RolloutReport),
     }
 
     /// Messages from a control instance to a gateway.
@@ -207,6 +212,9 @@
         /// Prompt parts and requests that may crash endpoints, and which of them are quarantined.
         /// Merged with those that the gateway knows.
         Suspects(Suspects),
+        /// Permits for requests to the new version of a service; the leader's answer to
+        /// [`GatewayMessage::ReportRollout`].
+        GrantPermits(PermitGrant),
     }
 
     /// Cluster state as seen by one control instance.
@@ -229,5 +237,7 @@
         pub data_centres_out: Vec<DataCentreId>,
         /// Log index of the last routing change; orders the states of different instances.
         pub routing_index: u64,
+        /// The latest rollout of each service that had one.
+        pub rollouts: Vec<RolloutView>,
     }
 }
--- a/crates/mimosa-route/src/sync.rs
+++ b/crates/mimosa-route/src/sync.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use mimosa_protocol::EndpointId;
+use mimosa_protocol::ServiceVersion;
 use mimosa_protocol::data;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -90,9 +91,11 @@
         slots,
         cold_remaining: _,
         started_at_ms,
+        version,
     } = endpoint;
+    let version = version.as_ref().map_or("", ServiceVersion::as_str);
     let text = format!(
-        "{id}|{service}|{address}|{data_centre}|{role:?}|{state:?}|{slots}|{started_at_ms}"
+        "{id}|{service}|{address}|{data_centre}|{role:?}|{state:?}|{slots}|{started_at_ms}|{version}"
     );
     xxh3_64(text.as_bytes())
 }
--- a/crates/mimosa-route/tests/sync.rs
+++ b/crates/mimosa-route/tests/sync.rs
@@ -35,6 +35,7 @@
         slots: 16,
         cold_remaining: NO_TIME,
         started_at_ms: 1_700_000_000_000 + u64::from(number),
+        version: None,
     }
 }
 
--- a/src/command/demo/gateway.rs
+++ b/src/command/demo/gateway.rs
@@ -118,6 +118,7 @@
         slots: 8,
         cold_remaining: Duration::ZERO,
         started_at_ms: 0,
+        version: None,
     })
 }
 
