Place the requests of models by version during a rollout

Cause: the scheduler of models ignored versions, so a request could be prefilled on one version and decoded on another, and nothing limited the requests to a new version. Change: the view of a service has its rollout and the versions of its endpoints. Prefill and decode run on one version, a KV cache of another one is not used, and a stream resumes on the version on which it began. While testing, the new version gets a request only for a permit of the leader, given with Event::GrantPermits; unused ones are taken back with unused_permits. Without a rollout nothing changes.

--- a/crates/mimosa-control/src/routing/dispatch/inner.rs
+++ b/crates/mimosa-control/src/routing/dispatch/inner.rs
@@ -122,6 +122,7 @@
                     cold_pacing: Pacing::single_sender(service.cold_start.per_kilosecond),
                     max_pause: self.table.event_gap_target(&service.id),
                     endpoints: self.view_endpoints(now, &service.id),
+                    rollout: None,
                 };
                 Some((service.id.clone(), view))
             })
@@ -213,6 +214,7 @@
                 data_centre: endpoint.data_centre.clone(),
                 role: endpoint.role,
                 cold_until: now + endpoint.cold_remaining.saturating_sub(age),
+                version: endpoint.version.clone(),
             })
             .collect()
     }
--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -466,6 +466,7 @@
             .kv_cache
             .as_ref()
             .map(|lease| lease.endpoint.listed.id.clone()),
+        resumes: None,
     }
 }
 
--- a/crates/mimosa-schedule/src/fleet.rs
+++ b/crates/mimosa-schedule/src/fleet.rs
@@ -25,12 +25,16 @@
 
 use crate::balance::Demand;
 use crate::balance::PoolSizes;
+use crate::versions;
+use crate::versions::VersionUse;
 
 mod endpoint;
 mod estimates;
 mod forecast;
 mod message;
+mod permits;
 mod placing;
+mod pools;
 mod queue;
 mod settings;
 
@@ -42,6 +46,7 @@
 pub use self::message::PlacementRequest;
 pub use self::message::RunEnd;
 pub use self::message::RunningRequest;
+pub use self::message::StreamVersion;
 pub use self::settings::Settings;
 pub use self::settings::View;
 pub use self::settings::ViewEndpoint;
@@ -49,6 +54,7 @@
 use self::endpoint::FleetEndpoint;
 use self::estimates::EngineEstimates;
 use self::forecast::MemoryLoad;
+use self::permits::Permits;
 use self::queue::QueuedRequest;
 
 /// Longest time after which clients are told to retry when all endpoints are limited. Limits change as
@@ -81,6 +87,8 @@
     last_scan: Timestamp,
     /// Until this time nothing is placed, because gateways may still report running requests.
     handover_until: Timestamp,
+    /// Permits for placements on the new version of a rollout.
+    permits: Permits,
 }
 
 impl FleetScheduler {
@@ -89,6 +97,7 @@
     pub fn new(settings: Settings, handover_until: Timestamp) -> Self {
         Self {
             handover_until,
+            permits: Permits::default(),
             tries: 0,
             has_new_capacity: true,
             last_scan: Timestamp::ZERO,
@@ -125,10 +134,22 @@
         self.estimates.demand(self.view.memory)
     }
 
-    /// Number of endpoints of each role in the current view.
+    /// Number of permits that were granted last and not used, even if their lease has ended.
+    pub const fn unused_permits(&self) -> u32 {
+        self.permits.unused()
+    }
+
+    /// Number of permits of the current rollout that placements have used.
+    pub const fn used_permits(&self) -> u64 {
+        self.permits.used()
+    }
+
+    /// Number of endpoints of each role in the current view, without those that a rollout keeps from
+    /// requests without a permit.
     pub fn pools(&self) -> PoolSizes {
         let count = |is: fn(&FleetEndpoint) -> bool| {
-            let endpoints = self.endpoints.values().filter(|each| is(each));
+            let open = self.endpoints.values().filter(|each| each.is_open);
+            let endpoints = open.filter(|each| is(each));
             u32::try_from(endpoints.count()).unwrap_or(u32::MAX)
         };
         PoolSizes {
@@ -138,11 +159,11 @@
     }
 
     /// Returns the endpoint of a role with the fewest requests, and among equals the one with the
-    /// lowest id; `None` if no endpoint has the role.
+    /// lowest id, of those that [`Self::pools`] counts; `None` if none has the role.
     pub fn least_loaded(&self, role: EndpointRole) -> Option<&EndpointId> {
         let endpoints = self.endpoints.iter();
         endpoints
-            .filter(|(_, each)| each.role == Some(role))
+            .filter(|(_, each)| each.is_open && each.role == Some(role))
             .min_by_key(|(id, each)| (each.request_count(), *id))
             .map(|(id, _)| id)
     }
@@ -196,6 +217,12 @@
                     endpoint.limit(now, max_rate);
                 }
             }
+            Event::GrantPermits {
+                rollout,
+                permits,
+                endpoints,
+                until,
+            } => self.permits.grant(rollout, permits, endpoints, until),
             Event::Tick => {}
         }
         self.dispatch(now, &mut actions);
@@ -241,16 +268,19 @@
             known.role = Some(each.role);
             known.data_centre = Some(each.data_centre.clone());
             known.cold.set_until(now, each.cold_until);
+            known.is_open = Self::is_open(view.rollout.as_ref(), each.version.as_ref());
+            known.version.clone_from(&each.version);
         }
+        let rollout = view.rollout.as_ref();
+        self.permits
+            .set_rollout(rollout.map(|rollout| rollout.number));
         self.view = view;
         self.is_configured = true;
     }
 
     fn submit(&mut self, now: Timestamp, request: PlacementRequest, actions: &mut Vec<Action>) {
         let id = request.id.clone();
-        let mut endpoints = self.endpoints.iter();
-        let has_decode =
-            endpoints.any(|(id, each)| each.is_decode() && !request.exclude.contains(id));
+        let has_decode = self.has_decode(&request);
         if self.is_configured && !has_decode {
             return actions.push(Action::Refuse {
                 id,
@@ -272,6 +302,21 @@
         self.queue.insert(index, queued);
     }
 
+    /// Whether a decode endpoint may get the request now or later.
+    fn has_decode(&self, request: &PlacementRequest) -> bool {
+        let may_get = |endpoint: &FleetEndpoint| match (&self.view.rollout, &request.resumes) {
+            (Some(rollout), Some(StreamVersion(began_on))) => {
+                let version = endpoint.version.as_ref();
+                versions::version_use_of_stream(rollout, version, began_on.as_ref())
+                    != VersionUse::Excluded
+            }
+            _ => endpoint.is_open,
+        };
+        let mut endpoints = self.endpoints.iter();
+        endpoints
+            .any(|(id, each)| each.is_decode() && may_get(each) && !request.exclude.contains(id))
+    }
+
     fn adopt(&mut self, now: Timestamp, running: RunningRequest) {
         let id = running.request.id.clone();
         if self.runs.contains_key(&id) {
@@ -396,9 +441,15 @@
             has_tried = true;
             self.tries += 1;
             match self.find_placement(now, index, &self.queue[index]) {
-                Some(placement) => {
-                    let queued = self.queue.remove(index);
-                    actions.push(self.place(now, queued, placement));
+                Some(found) => {
+                    let mut queued = self.queue.remove(index);
+                    if !found.uses_cache {
+                        queued.request.kv_cache_at = None;
+                    }
+                    if found.uses_permit {
+                        self.permits.spend(now);
+                    }
+                    actions.push(self.place(now, queued, found.placement));
                 }
                 None => self.queue[index].was_tried = true,
             }
@@ -412,7 +463,8 @@
     /// to be sent another one.
     fn has_freed_prefill(&self, now: Timestamp) -> bool {
         let lookahead = self.settings.prefill_lookahead;
-        let mut prefills = self.endpoints.values().filter(|each| each.is_prefill());
+        let open = self.endpoints.values().filter(|each| each.is_open);
+        let mut prefills = open.filter(|each| each.is_prefill());
         prefills.any(|each| {
             let free_at = each.last_processing_end().map(|at| at.minus(lookahead));
             free_at.is_some_and(|at| self.last_scan < at && at <= now)
@@ -442,7 +494,8 @@
         if self.queue.is_empty() {
             return;
         }
-        let decodes = self.endpoints.values().filter(|each| each.is_decode());
+        let open = self.endpoints.values().filter(|each| each.is_open);
+        let decodes = open.filter(|each| each.is_decode());
         let slots: Option<Vec<_>> = decodes
             .map(|each| each.is_limited(now).then(|| each.next_slot(now)))
             .collect();
@@ -491,7 +544,8 @@
 
     /// Whether requests are queued although a prefill endpoint is available.
     fn waits_for_memory(&self, now: Timestamp) -> bool {
-        !self.queue.is_empty() && self.free_prefills(now).next().is_some()
+        let is_open = |(_, each, _): &(_, &FleetEndpoint, _)| each.is_open;
+        !self.queue.is_empty() && self.free_prefills(now).any(|each| is_open(&each))
     }
 
     /// Refuses requests past their deadline and moves requests that will miss their target to the
--- a/crates/mimosa-schedule/src/fleet/endpoint.rs
+++ b/crates/mimosa-schedule/src/fleet/endpoint.rs
@@ -5,6 +5,7 @@
 
 use mimosa_protocol::DataCentreId;
 use mimosa_protocol::RequestRate;
+use mimosa_protocol::ServiceVersion;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::configuration::EndpointRole;
 
@@ -29,6 +30,10 @@
 pub(super) struct FleetEndpoint {
     pub(super) role: Option<EndpointRole>,
     pub(super) data_centre: Option<DataCentreId>,
+    /// Version of the service that it runs, if known.
+    pub(super) version: Option<ServiceVersion>,
+    /// Whether it is of a version that new requests of the service may use without a permit.
+    pub(super) is_open: bool,
     pub(super) cold: ColdStart,
     /// End of the backoff after the endpoint reported that it had no capacity.
     pub(super) no_capacity_until: Timestamp,
--- a/crates/mimosa-schedule/src/fleet/message.rs
+++ b/crates/mimosa-schedule/src/fleet/message.rs
@@ -7,8 +7,11 @@
 use mimosa_protocol::EndpointId;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::RequestRate;
+use mimosa_protocol::ServiceVersion;
+use mimosa_protocol::Timestamp;
 use mimosa_protocol::Tokens;
 use mimosa_protocol::data;
+use mimosa_rollout::RolloutNumber;
 
 use super::settings::View;
 
@@ -51,8 +54,14 @@
         /// Endpoint that already holds the KV cache, if the prompt was processed before a failed
         /// decode.
         pub kv_cache_at: Option<EndpointId>,
+        /// Version on which the stream began that the request resumes; `None` for a request that may
+        /// run on any version.
+        pub resumes: Option<StreamVersion>,
     }
 
+    /// Version on which a stream began, and the only one on which it resumes during a rollout.
+    pub struct StreamVersion(pub Option<ServiceVersion>);
+
     /// A running request, reported to a new scheduler.
     pub struct RunningRequest {
         /// Request as it was submitted.
@@ -154,6 +163,21 @@
         /// Highest rate of placements there; `None` if they are not limited.
         max_rate: Option<RequestRate>,
     },
+    /// The leader permits this number of placements at endpoints of the rollout's new version. Replaces
+    /// the permits that are left. The leader first takes those back with
+    /// [`FleetScheduler::unused_permits`](super::FleetScheduler::unused_permits), and learns of used
+    /// ones from [`FleetScheduler::used_permits`](super::FleetScheduler::used_permits).
+    GrantPermits {
+        /// Rollout for which they hold; permits for another one are ignored.
+        rollout: RolloutNumber,
+        /// Number of placements.
+        permits: u32,
+        /// Number of endpoints of each role on which to spend them, so that these see the same load as
+        /// those of the old version.
+        endpoints: u32,
+        /// End of their lease.
+        until: Timestamp,
+    },
     /// Timer event, requested through `next_wake`.
     Tick,
 }
@@ -165,6 +189,7 @@
             Self::Configure(_) | Self::Prefilled { .. } | Self::Ended { .. } => true,
             Self::GatewayLost { .. } => true,
             Self::Submit(_) | Self::Adopt(_) | Self::Started { .. } | Self::Tick => false,
+            Self::GrantPermits { permits, .. } => *permits > 0,
             Self::Limited { max_rate, .. } => max_rate.is_none(),
         }
     }
--- a/crates/mimosa-schedule/src/fleet/placing.rs
+++ b/crates/mimosa-schedule/src/fleet/placing.rs
@@ -15,8 +15,25 @@
 use super::message::Action;
 use super::message::Placement;
 use super::message::PlacementRequest;
+use super::pools::Pool;
 use super::queue::QueuedRequest;
 
+/// Endpoints found for a request, and what the placement there uses.
+#[derive(Clone, Debug)]
+pub(super) struct FoundPlacement {
+    pub(super) placement: Placement,
+    /// Whether the request's KV cache is used, if it has one.
+    pub(super) uses_cache: bool,
+    pub(super) uses_permit: bool,
+}
+
+/// A request and the endpoints among which it is placed.
+#[derive(Clone, Copy)]
+struct Search<'a> {
+    request: &'a PlacementRequest,
+    pool: &'a Pool,
+}
+
 impl FleetScheduler {
     /// Selects the endpoints of the request at an index of the queue; `None` if it has to wait.
     pub(super) fn find_placement(
@@ -24,33 +41,58 @@
         now: Timestamp,
         index: usize,
         queued: &QueuedRequest,
+    ) -> Option<FoundPlacement> {
+        let pools = self.pools_for(now, &queued.request);
+        pools.iter().find_map(|pool| {
+            let holder = queued.request.kv_cache_at.as_ref();
+            let uses_cache = holder.is_none_or(|holder| self.can_use_cache(pool, holder));
+            let holder = holder.filter(|_| uses_cache);
+            Some(FoundPlacement {
+                placement: self.find_in_pool(now, index, queued, pool, holder)?,
+                uses_cache,
+                uses_permit: pool.needs_permit(),
+            })
+        })
+    }
+
+    /// Selects the endpoints of a request in a pool; `cache_holder` has the KV cache that is used.
+    fn find_in_pool(
+        &self,
+        now: Timestamp,
+        index: usize,
+        queued: &QueuedRequest,
+        pool: &Pool,
+        cache_holder: Option<&EndpointId>,
     ) -> Option<Placement> {
         let request = &queued.request;
-        if let Some(cache_holder) = &request.kv_cache_at {
+        let search = Search { request, pool };
+        if let Some(cache_holder) = cache_holder {
             let decode_start = now + self.settings.first_output_time;
             let load = self.estimates.memory_load(request, decode_start);
             let cache_data_centre = self
                 .endpoints
                 .get(cache_holder)
                 .and_then(|each| each.data_centre.clone());
-            let decode =
-                self.find_decode(now, request, &load, cache_data_centre.as_ref(), |_| true)?;
+            let cache_data_centre = cache_data_centre.as_ref();
+            let decode = self.find_decode(now, search, &load, cache_data_centre, |_| true)?;
             return Some(Placement {
                 prefill: None,
                 decode,
             });
         }
         let prefill_time = self.estimates.prefill_time(request.prompt);
-        let has_prefill_pool = self.endpoints.values().any(FleetEndpoint::is_prefill);
+        let mut in_pool = self.in_pool(pool);
+        let has_prefill_pool = in_pool.any(|(_, each)| each.is_prefill());
         let prefill = self
             .free_prefills(now)
-            .filter(|(id, ..)| !self.avoids(request, id))
+            .filter(|(id, each, _)| pool.contains(id, each))
+            .filter(|(id, ..)| !self.avoids(request, pool, id))
             .min_by_key(|(_, each, free_at)| (!each.is_in(&request.data_centre), *free_at));
         if has_prefill_pool && prefill.is_none() {
-            if self.prefill_pool_meets_target(now, index, queued) {
+            if self.prefill_pool_meets_target(now, index, queued, pool) {
                 return None;
             }
-            return self.find_decode_for_prompt(now, queued);
+            return self.find_decode_for_prompt(now, queued, pool);
         }
         let prefill_start = prefill
             .as_ref()
@@ -61,23 +103,34 @@
         let cache_data_centre = prefill
             .as_ref()
             .and_then(|(_, each, _)| each.data_centre.clone());
-        let decode = self.find_decode(now, request, &load, cache_data_centre.as_ref(), |_| true)?;
+        let cache_data_centre = cache_data_centre.as_ref();
+        let decode = self.find_decode(now, search, &load, cache_data_centre, |_| true)?;
         Some(Placement {
             prefill: prefill.map(|(id, ..)| id.clone()),
             decode,
         })
     }
 
-    /// Whether the prefill endpoints are expected to process all prompts up to an index of the queue
-    /// in time for the target of the request at that index.
+    pub(super) fn in_pool(
+        &self,
+        pool: &Pool,
+    ) -> impl Iterator<Item = (&EndpointId, &FleetEndpoint)> {
+        let endpoints = self.endpoints.iter();
+        endpoints.filter(move |(id, each)| pool.contains(id, each))
+    }
+
+    /// Whether the prefill endpoints of a pool are expected to process all prompts up to an index of
+    /// the queue in time for the target of the request at that index.
     fn prefill_pool_meets_target(
         &self,
         now: Timestamp,
         index: usize,
         queued: &QueuedRequest,
+        pool: &Pool,
     ) -> bool {
         let pacing = self.view.cold_pacing;
-        let usable = self.endpoints.values().filter(|each| each.is_prefill());
+        let in_pool = self.in_pool(pool).map(|(_, each)| each);
+        let usable = in_pool.filter(|each| each.is_prefill());
         let free_at: Vec<Timestamp> = usable
             .filter(|each| each.accepts_work(now, pacing))
             .map(|each| each.free_at(now).max(now))
@@ -97,7 +150,12 @@
     /// Selects a decode endpoint that processes the prompt itself, if the first output is then in
     /// time and the other outputs there do not pause for too long. An endpoint gets one such prompt
     /// at a time.
-    fn find_decode_for_prompt(&self, now: Timestamp, queued: &QueuedRequest) -> Option<Placement> {
+    fn find_decode_for_prompt(
+        &self,
+        now: Timestamp,
+        queued: &QueuedRequest,
+        pool: &Pool,
+    ) -> Option<Placement> {
         let request = &queued.request;
         let prefill_time = self.decode_prefill_time(request);
         let latency = self.estimates.prefill_latency() + self.settings.first_output_time;
@@ -108,8 +166,9 @@
             return None;
         }
         let load = self.estimates.memory_load(request, decode_start);
+        let search = Search { request, pool };
         let is_idle = |each: &FleetEndpoint| each.free_at(now) <= now;
-        let decode = self.find_decode(now, request, &load, None, is_idle)?;
+        let decode = self.find_decode(now, search, &load, None, is_idle)?;
         Some(Placement {
             prefill: None,
             decode,
@@ -136,8 +195,9 @@
     }
 
     /// Whether to avoid an endpoint, because it takes no requests of the gateway or the request failed
-    /// there. Endpoints where it failed are not avoided if it failed at all endpoints of their role.
-    fn avoids(&self, request: &PlacementRequest, id: &EndpointId) -> bool {
+    /// there. Endpoints where it failed are not avoided if it failed at all endpoints of their role in
+    /// the pool.
+    fn avoids(&self, request: &PlacementRequest, pool: &Pool, id: &EndpointId) -> bool {
         if request.exclude.contains(id) {
             return true;
         }
@@ -146,8 +206,7 @@
         }
         let role = self.endpoints.get(id).map(|each| each.role);
         let mut alike = self
-            .endpoints
-            .iter()
+            .in_pool(pool)
             .filter(|(_, each)| Some(each.role) == role);
         alike.any(|(other, _)| !request.avoid.contains(other) && !request.exclude.contains(other))
     }
@@ -157,11 +216,12 @@
     fn find_decode(
         &self,
         now: Timestamp,
-        request: &PlacementRequest,
+        search: Search<'_>,
         load: &MemoryLoad,
         cache_data_centre: Option<&DataCentreId>,
         is_suitable: impl Fn(&FleetEndpoint) -> bool,
     ) -> Option<EndpointId> {
+        let Search { request, pool } = search;
         let memory = self.view.memory.0 * self.settings.max_fill_permille / 1_000;
         let token_time = self.estimates.token_time();
         // A KV cache transfer between data centres takes twice as long and costs more.
@@ -175,9 +235,8 @@
             each.is_decode() && each.accepts_work(now, pacing) && now >= each.no_capacity_until
         };
         let mut candidates: Vec<_> = self
-            .endpoints
-            .iter()
-            .filter(|(id, each)| accepts_work(each) && !self.avoids(request, id))
+            .in_pool(pool)
+            .filter(|(id, each)| accepts_work(each) && !self.avoids(request, pool, id))
             .filter(|(_, each)| is_suitable(each))
             .filter(|(_, each)| each.loads.len() < self.view.slots as usize)
             .map(|(id, each)| {
--- a/crates/mimosa-schedule/src/fleet/settings.rs
+++ b/crates/mimosa-schedule/src/fleet/settings.rs
@@ -4,9 +4,11 @@
 
 use mimosa_protocol::DataCentreId;
 use mimosa_protocol::EndpointId;
+use mimosa_protocol::ServiceVersion;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::Tokens;
 use mimosa_protocol::configuration::EndpointRole;
+use mimosa_rollout::RolloutView;
 
 use crate::cold::Pacing;
 
@@ -23,6 +25,8 @@
     pub max_pause: Option<Duration>,
     /// All endpoints that may get requests.
     pub endpoints: Vec<ViewEndpoint>,
+    /// The latest rollout of the service; without one, versions are ignored.
+    pub rollout: Option<RolloutView>,
 }
 
 /// An endpoint that may get requests.
@@ -36,6 +40,8 @@
     pub role: EndpointRole,
     /// End of the cold start, before which the request rate is limited.
     pub cold_until: Timestamp,
+    /// Version of the service that it runs, if known.
+    pub version: Option<ServiceVersion>,
 }
 
 /// Settings of the fleet scheduler.
--- a/crates/mimosa-schedule/src/lib.rs
+++ b/crates/mimosa-schedule/src/lib.rs
@@ -133,6 +133,7 @@
 pub mod scheduler;
 pub mod settings;
 pub mod succession;
+pub mod versions;
 
 pub use crate::action::Action;
 pub use crate::action::Grant;
--- a/crates/mimosa-schedule/tests/fleet.rs
+++ b/crates/mimosa-schedule/tests/fleet.rs
@@ -2,6 +2,8 @@
 
 #[path = "fleet/simulation.rs"]
 mod simulation;
+#[path = "fleet/versions.rs"]
+mod versions;
 
 use std::time::Duration;
 
--- a/crates/mimosa-schedule/tests/fleet/simulation.rs
+++ b/crates/mimosa-schedule/tests/fleet/simulation.rs
@@ -38,6 +38,7 @@
         data_centre: "north".parse().unwrap(),
         role,
         cold_until: Timestamp::ZERO,
+        version: None,
     };
     let prefills = (1..=prefills).map(|n| endpoint(format!("p-{n}"), EndpointRole::Prefill));
     let decodes = (1..=decodes).map(|n| endpoint(format!("d-{n}"), EndpointRole::Decode));
@@ -47,6 +48,7 @@
         cold_pacing: Pacing::single_sender(0),
         max_pause: Some(Duration::from_millis(300)),
         endpoints: prefills.chain(decodes).collect(),
+        rollout: None,
     }
 }
 
@@ -67,6 +69,7 @@
         avoid: Vec::new(),
         exclude: Vec::new(),
         kv_cache_at: None,
+        resumes: None,
     }
 }
 
