--- a/crates/mimosa-rollout/src/lib.rs
+++ b/crates/mimosa-rollout/src/lib.rs
@@ -2,8 +2,11 @@
 //!
 //! * [`rollout`] defines the phases of a rollout and the view of it that gateways have.
 //! * [`message`] defines the reports of gateways and the permits of the leader.
+//! * [`permits`] holds the permits of one gateway, [`exposure`] the leader's account of all permits.
 
+pub mod exposure;
 pub mod message;
+pub mod permits;
 pub mod rollout;
 
 pub use crate::message::DurationHistogram;
