Select versions and count outcomes at gateways during a rollout

Cause: gateways ignored versions, so a new version got requests as soon as its endpoints were listed, and nobody compared it with the old one. Change: a module of the gateway applies the rollouts that control instances announce. While testing, a plain request goes to the new version only with a permit, spent on the first few endpoints and spread over the time until the next grant; a retry after an attempt there goes to the old version. Requests to models keep to the leader's choice, and to the old version without a leader; a stream resumes on its version, and a KV cache of another version is dropped. Outcomes are counted by version, route and data centre and reported every 250 ms while a rollout runs. The golden list of endpoints shows the version that entries have since.

--- a/crates/mimosa-gateway/src/control_link.rs
+++ b/crates/mimosa-gateway/src/control_link.rs
@@ -153,6 +153,7 @@
         ControlMessage::State(state) => {
             let is_local = state.data_centre.as_ref() == Some(&shared.settings.data_centre);
             directory.apply_state(shared.now(), instance, &state, is_local);
+            shared.rollouts.apply(&state.rollouts);
             let gateways = shared.set_gateways(instance, state.gateways);
             if let Some(table) = directory.table() {
                 shared.local_quota.configure(shared.now(), &table, gateways);
@@ -210,8 +211,8 @@
             retry_after,
         } => shared.placement.on_rejected(number, reason, retry_after),
         ControlMessage::NotLeader { number } => shared.placement.on_not_leader(number),
-        // Gateways send no reports of rollouts yet, so they get no permits.
-        ControlMessage::GrantPermits(_) => {}
+        // Grants of a former leader are covered by its reservation in the log.
+        ControlMessage::GrantPermits(grant) => shared.rollouts.on_grant(shared.now(), &grant),
         ControlMessage::Suspects(suspects) => {
             if let Some(report) = shared.suspects.on_suspects(shared.now(), &suspects) {
                 shared.placement.send_to_leader(report);
--- a/crates/mimosa-gateway/src/directory.rs
+++ b/crates/mimosa-gateway/src/directory.rs
@@ -449,6 +449,15 @@
             .filter(|entry| !entry.is_leaving())
     }
 
+    /// All endpoints of a service, also those that accept no new work.
+    pub(crate) fn of_service(
+        &self,
+        service: &ServiceId,
+    ) -> impl Iterator<Item = &Arc<EndpointEntry>> {
+        let endpoints = self.by_id.values();
+        endpoints.filter(move |each| each.listed.service == *service)
+    }
+
     /// The endpoints of a service and role that accept new work.
     pub(crate) fn active(&self, service: &ServiceId, role: EndpointRole) -> &[Arc<EndpointEntry>] {
         let roles = self.active.get(service);
--- a/crates/mimosa-gateway/src/lib.rs
+++ b/crates/mimosa-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`directory`] holds the state received from control instances: routes, endpoints, and data
 //!   centres that are taken out of service.
 //! * [`control_link`] keeps the directory up to date.
+//! * [`rollout`] restricts requests to the versions that a rollout of their service allows.
 //! * [`connection`] pools connections to endpoints; [`client_connection`] enforces time limits on
 //!   connections of clients.
 
@@ -27,6 +28,7 @@
 mod relay;
 mod response;
 mod resume;
+mod rollout;
 mod serve;
 mod shared;
 mod upstream;
--- a/crates/mimosa-gateway/src/metrics.rs
+++ b/crates/mimosa-gateway/src/metrics.rs
@@ -23,6 +23,7 @@
     retries: IntCounterVec,
     resumes: IntCounterVec,
     stream_ends: IntCounterVec,
+    version_calls: IntCounterVec,
     response_time: HistogramVec,
     queue_time: HistogramVec,
 }
@@ -90,6 +91,11 @@
                 "Answers that were passed on as they came, by framing at the endpoint and outcome",
                 &["framing", "outcome"],
             ),
+            version_calls: counter(
+                "mimosa_gateway_version_calls_total",
+                "Calls to endpoints while a rollout runs, by service, version (new or old) and outcome",
+                &["service", "version", "outcome"],
+            ),
             response_time: histogram(
                 "mimosa_gateway_answer_seconds",
                 "Time from a request's head to the head of its answer",
@@ -158,6 +164,14 @@
             .inc();
     }
 
+    /// Records a call to the `new` or an `old` version while a rollout runs: `complete`, `failed` or
+    /// `refused`.
+    pub(crate) fn record_version_call(&self, service: &str, version: &str, outcome: &str) {
+        self.version_calls
+            .with_label_values(&[service, version, outcome])
+            .inc();
+    }
+
     /// Records a request counted against a quota. `how` is `lent` for borrowed quota or `alone` for
     /// the even share.
     pub(crate) fn record_quota_charge(&self, how: &str) {
--- a/crates/mimosa-gateway/src/plain.rs
+++ b/crates/mimosa-gateway/src/plain.rs
@@ -17,6 +17,10 @@
 use crate::relay;
 use crate::response::Body;
 use crate::response::Failure;
+use crate::rollout;
+use crate::rollout::CallOutcome;
+use crate::rollout::Selected;
+use crate::rollout::TakenPermit;
 use crate::shared::Shared;
 use crate::upstream;
 use crate::upstream::CallFailure;
@@ -56,9 +60,8 @@
             break;
         }
         let endpoints = shared.directory.endpoints();
-        let Some(endpoint) =
-            upstream::select_endpoint(shared, now, &endpoints, request, role, &tried)
-        else {
+        let selected = rollout::select_endpoint(shared, now, &endpoints, request, &tried);
+        let Some(Selected { endpoint, permit }) = selected else {
             break;
         };
         if attempts > 0 && !shared.take_retry(now, &request.service) {
@@ -66,6 +69,7 @@
                 "request={} step=retry outcome=refused reason=\"no retry budget\"",
                 request.metadata.attempt_id
             );
+            give_back(shared, permit);
             break;
         }
         tried.push(Arc::clone(&endpoint));
@@ -86,6 +90,9 @@
                     "request={} step=call outcome={failure:?} endpoint={} attempt={attempts}",
                     request.metadata.attempt_id, endpoint.listed.id
                 );
+                if failure == CallFailure::NotSent {
+                    give_back(shared, permit);
+                }
                 last.replace(failure);
                 if !failure.has_not_run() && !may_rerun {
                     break;
@@ -98,6 +105,13 @@
     last.into_result(retry_after)
 }
 
+/// Returns the permit of an attempt of which nothing was sent.
+fn give_back(shared: &Shared, permit: Option<TakenPermit>) {
+    if let Some(permit) = permit {
+        permit.give_back(&shared.rollouts);
+    }
+}
+
 /// Logs a response of an endpoint with the data that determined the routing of the request.
 fn log_response(
     request: &IdentifiedRequest,
@@ -196,6 +210,7 @@
             tracked.report_lost(shared, endpoint, sent);
         }
     })?;
+    let versioned = upstream_response.versioned.clone();
     let time_left = request.time_left(shared.now());
     match tokio::time::timeout(
         time_left,
@@ -204,6 +219,11 @@
     .await
     {
         Ok(result) => result,
-        Err(_) => Err(CallFailure::TimedOut),
+        Err(_) => {
+            if let Some(versioned) = versioned {
+                versioned.record(shared, CallOutcome::Failed);
+            }
+            Err(CallFailure::TimedOut)
+        }
     }
 }
--- a/crates/mimosa-gateway/src/relay.rs
+++ b/crates/mimosa-gateway/src/relay.rs
@@ -34,6 +34,7 @@
 use crate::response;
 use crate::response::Body;
 use crate::response::BodyError;
+use crate::rollout::VersionedCall;
 use crate::shared::Shared;
 use crate::upstream;
 use crate::upstream::CallFailure;
@@ -65,6 +66,7 @@
         endpoint,
         in_flight,
         sent,
+        versioned,
     } = upstream_response;
     let (mut head, body) = response.into_parts();
     let collected = body.collect().await;
@@ -72,7 +74,11 @@
     drop(in_flight);
     match collected {
         Ok(body) => {
-            record_health(&endpoint, now, sent, head.status.is_server_error());
+            let is_failed = head.status.is_server_error();
+            record_health(&endpoint, now, sent, is_failed);
+            if let Some(versioned) = versioned {
+                versioned.record_response(shared, now, !is_failed);
+            }
             endpoint.pool.put(now, connection);
             tracked.record_sound(now, shared);
             upstream::remove_hop_by_hop(&mut head.headers);
@@ -83,6 +89,9 @@
         }
         Err(_) => {
             endpoint.health().record_unreachable(now);
+            if let Some(versioned) = versioned {
+                versioned.record_response(shared, now, false);
+            }
             tracked.report_lost(shared, &endpoint, sent);
             Err(upstream::RESPONSE_CUT)
         }
@@ -120,6 +129,8 @@
         endpoint: upstream_response.endpoint,
         _in_flight: upstream_response.in_flight,
         sent: upstream_response.sent,
+        versioned: upstream_response.versioned,
+        is_server_error: head.status.is_server_error(),
         info,
         framing,
         is_event_stream,
@@ -221,6 +232,8 @@
     endpoint: Arc<EndpointEntry>,
     _in_flight: InFlightGuard,
     sent: Timestamp,
+    versioned: Option<VersionedCall>,
+    is_server_error: bool,
     info: StreamInfo,
     framing: Framing,
     is_event_stream: bool,
@@ -318,6 +331,23 @@
         Poll::Ready(None)
     }
 
+    /// Counts the outcome for the comparison of versions.
+    fn record_version(&mut self, now: Timestamp, outcome: &str) {
+        let Some(versioned) = self.versioned.take() else {
+            return;
+        };
+        let events = self.events.count();
+        match outcome {
+            "complete" if self.info.run.is_some() && events > 0 && !self.is_server_error => {
+                let output = events * self.info.tokens_per_event.0;
+                versioned.record_sized(&self.shared, now, output);
+            }
+            "complete" => versioned.record_response(&self.shared, now, !self.is_server_error),
+            "cut" | "deadline" => versioned.record_response(&self.shared, now, false),
+            _ => {}
+        }
+    }
+
     fn end(&mut self, outcome: &str) {
         let now = self.shared.now();
         if let Some(connection) = self.connection.take() {
@@ -342,6 +372,7 @@
                 }
                 _ => {}
             }
+            self.record_version(now, outcome);
             if let Some(run) = self.info.run.take() {
                 let output = Tokens(self.events.count() * self.info.tokens_per_event.0);
                 run.end(match outcome {
--- a/crates/mimosa-gateway/src/server.rs
+++ b/crates/mimosa-gateway/src/server.rs
@@ -37,6 +37,7 @@
 use crate::directory::Directory;
 use crate::response;
 use crate::response::Body;
+use crate::rollout;
 use crate::serve;
 use crate::settings::Reloadable;
 use crate::settings::Settings;
@@ -87,6 +88,7 @@
         let stop = Arc::new(Notify::new());
         let mut background = vec![
             tokio::spawn(control_link::run(Arc::clone(&shared))),
+            tokio::spawn(rollout::run(Arc::clone(&shared))),
             tokio::spawn(serve_readiness(readiness_listener, Arc::clone(&shared))),
         ];
         let mut metrics_address = None;
--- a/crates/mimosa-gateway/src/shared.rs
+++ b/crates/mimosa-gateway/src/shared.rs
@@ -26,6 +26,7 @@
 use crate::local_quota::LocalQuota;
 use crate::metrics::Metrics;
 use crate::part_quarantine::KnownSuspects;
+use crate::rollout::Rollouts;
 use crate::settings::Reloadable;
 use crate::settings::Settings;
 
@@ -56,6 +57,8 @@
     pub(crate) local_quota: LocalQuota,
     /// Prompt parts and requests that crash endpoints.
     pub(crate) suspects: KnownSuspects,
+    /// Rollouts of services to new versions.
+    pub(crate) rollouts: Rollouts,
     pub(crate) metrics: Metrics,
     /// Start of the drain in microseconds; 0 if the gateway is not draining.
     drain_started_us: AtomicU64,
@@ -87,6 +90,7 @@
             placement: Arc::default(),
             local_quota: LocalQuota::default(),
             suspects: KnownSuspects::default(),
+            rollouts: Rollouts::default(),
             metrics: Metrics::new(),
             drain_started_us: AtomicU64::new(0),
             drain_started: Notify::new(),
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -41,6 +41,8 @@
 use crate::directory::EndpointSet;
 use crate::directory::InFlightGuard;
 use crate::head::IdentifiedRequest;
+use crate::rollout::CallOutcome;
+use crate::rollout::VersionedCall;
 use crate::shared::Shared;
 
 /// Hop-by-hop headers, which are not forwarded.
@@ -79,6 +81,8 @@
     pub(crate) endpoint: Arc<EndpointEntry>,
     pub(crate) in_flight: InFlightGuard,
     pub(crate) sent: Timestamp,
+    /// The call for the comparison of versions; `None` without a running rollout.
+    pub(crate) versioned: Option<VersionedCall>,
 }
 
 /// Why a call produced no valid response.
@@ -126,20 +130,19 @@
     }
 }
 
-/// Selects an endpoint of the request's service and role that was not tried yet; `None` if there is
-/// no usable one.
-pub(crate) fn select_endpoint(
+/// The endpoints of the request's service and role that were not tried yet and accept it now.
+pub(crate) fn usable_endpoints<'a>(
     shared: &Shared,
     now: Timestamp,
-    endpoints: &EndpointSet,
+    endpoints: &'a EndpointSet,
     request: &IdentifiedRequest,
     role: EndpointRole,
     tried: &[Arc<EndpointEntry>],
-) -> Option<Arc<EndpointEntry>> {
-    let cold_start = request.table.service(&request.service)?.cold_start;
-    let gateways = shared.gateways.load(Ordering::Relaxed);
-    let pacing = Pacing::for_sender(cold_start.per_kilosecond, gateways, shared.pacing_number);
-    let usable: Vec<_> = endpoints
+) -> Vec<&'a Arc<EndpointEntry>> {
+    let Some(pacing) = cold_pacing(shared, request) else {
+        return Vec::new();
+    };
+    endpoints
         .active(&request.service, role)
         .iter()
         .filter(|each| !shared.directory.is_out_of_service(&each.listed.data_centre))
@@ -147,7 +150,26 @@
         .filter(|each| each.accepts_requests(now))
         .filter(|each| each.cold().allows_request(now, pacing))
         .filter(|each| each.rate_limit().allows_request(now, shared.senders()))
-        .collect();
+        .collect()
+}
+
+/// Rate limit for requests of this gateway to a cold endpoint of the request's service; `None` if the
+/// service is unknown.
+fn cold_pacing(shared: &Shared, request: &IdentifiedRequest) -> Option<Pacing> {
+    let cold_start = request.table.service(&request.service)?.cold_start;
+    let gateways = shared.gateways.load(Ordering::Relaxed);
+    let rate = cold_start.per_kilosecond;
+    Some(Pacing::for_sender(rate, gateways, shared.pacing_number))
+}
+
+/// Selects one of the endpoints from [`usable_endpoints`]; `None` without any.
+pub(crate) fn select_usable(
+    shared: &Shared,
+    now: Timestamp,
+    request: &IdentifiedRequest,
+    usable: &[&Arc<EndpointEntry>],
+) -> Option<Arc<EndpointEntry>> {
+    let pacing = cold_pacing(shared, request)?;
     let candidates: Vec<_> = usable
         .iter()
         .map(|each| candidate(shared, now, each))
@@ -235,6 +257,12 @@
 ) -> Result<UpstreamResponse, CallFailure> {
     let now = shared.now();
     let in_flight = InFlightGuard::new(endpoint);
+    let versioned = shared.rollouts.track(now, request, endpoint, &step);
+    let record = |outcome| {
+        if let Some(versioned) = &versioned {
+            versioned.record(shared, outcome);
+        }
+    };
     let service = request.table.service(&request.service);
     let max_connections = service.map_or(MIN_CONNECTIONS, |service| {
         (service.max_connections / CONNECTION_SHARE_DIVISOR).max(MIN_CONNECTIONS)
@@ -243,6 +271,7 @@
         Ok(connection) => connection,
         Err(PoolError::Refused | PoolError::Unreachable) => {
             endpoint.health().record_unreachable(shared.now());
+            record(CallOutcome::Failed);
             return Err(CallFailure::NotSent);
         }
         Err(PoolError::LimitReached) => return Err(CallFailure::NotSent),
@@ -250,8 +279,8 @@
     let is_first = connection.is_new();
     let sent = shared.now();
     // A prefill alone does not execute the request.
-    if !matches!(step, Step::Prefill) {
-        request.may_have_run.store(true, Ordering::Relaxed);
+    if !matches!(step, Step::Prefill) && !request.may_have_run.swap(true, Ordering::Relaxed) {
+        shared.rollouts.count_request(&request.service);
     }
     let outgoing = outgoing(
         shared,
@@ -268,10 +297,12 @@
         Ok(Err(e)) if e.is_canceled() => return Err(CallFailure::NotSent),
         Ok(Err(_)) => {
             endpoint.health().record_unreachable(now);
+            record(CallOutcome::Failed);
             return Err(CONNECTION_LOST);
         }
         Err(_) => {
             endpoint.health().record_failure(now);
+            record(CallOutcome::Failed);
             return Err(CallFailure::TimedOut);
         }
     };
@@ -297,13 +328,16 @@
             endpoint: Arc::clone(endpoint),
             in_flight,
             sent,
+            versioned,
         }),
         ResponseClass::NotRun => {
             endpoint.health().record_failure(now);
+            record(CallOutcome::Refused);
             Err(CallFailure::NotRun)
         }
         ResponseClass::Unverified => {
             endpoint.health().record_failure(now);
+            record(CallOutcome::Failed);
             Err(CallFailure::Unknown("the answer is not the endpoint's own"))
         }
     }
--- a/crates/mimosa-rollout/src/message.rs
+++ b/crates/mimosa-rollout/src/message.rs
@@ -62,7 +62,9 @@
         /// Requests that the endpoint refused for lack of capacity.
         pub refused: u64,
         /// Durations of the complete responses of requests that were sent to an endpoint after its
-        /// warm-up. For models the time per token, because their responses differ in length.
+        /// warm-up. For models the time per 100 tokens, because their responses differ in length and
+        /// the time of one token is below the resolution. Prefills are counted under a route of their
+        /// own, with the time per 100 tokens of the prompt.
         pub durations: DurationHistogram,
     }
 
--- a/crates/mimosa-schedule/src/fleet/pools.rs
+++ b/crates/mimosa-schedule/src/fleet/pools.rs
@@ -82,9 +82,9 @@
             && !request.avoid.iter().any(is_new)
     }
 
-    /// The endpoints that get a request with a permit; `None` without a permit. Endpoints in the data
-    /// centre of the gateway come first, as old ones do, and those in their cold start are left out,
-    /// because their slowness says nothing about the version.
+    /// The endpoints that get a request with a permit; `None` without a permit. Cold endpoints are used
+    /// only without a warm one of the role, because they are slow, and those in other data centres only
+    /// without one in that of the gateway, as it is for old ones.
     fn permit_pool(
         &self,
         now: Timestamp,
@@ -103,16 +103,20 @@
                 .collect();
             let is_missing = new.is_empty();
             new.retain(|(id, each)| {
-                !each.cold.is_cold(now)
-                    && each.accepts_work(now, pacing)
-                    && !request.exclude.contains(id)
+                each.accepts_work(now, pacing) && !request.exclude.contains(id)
             });
             // A decode endpoint that processes the prompt itself is slower than the old version.
             if new.is_empty() && !is_missing {
                 return None;
             }
-            new.sort_by_key(|(id, each)| (!each.is_in(&request.data_centre), *id));
-            let few = new.into_iter().take(self.permits.endpoints());
+            let rank = |each: &FleetEndpoint| {
+                let is_remote = !each.is_in(&request.data_centre);
+                (each.cold.is_cold(now), is_remote)
+            };
+            new.sort_by_key(|(id, each)| (rank(each), *id));
+            let best = new.first().map(|(_, each)| rank(each));
+            let best = new.into_iter().filter(|(_, each)| Some(rank(each)) == best);
+            let few = best.take(self.permits.endpoints());
             endpoints.extend(few.map(|(id, _)| id.clone()));
         }
         Some(Pool::WithPermit(endpoints))
