Tighten two tests of the placement by version

Cause: the tests passed with permits spent on all new endpoints, and with a prefill that its endpoint was not charged for.

--- a/crates/mimosa-schedule/tests/fleet/versions.rs
+++ b/crates/mimosa-schedule/tests/fleet/versions.rs
@@ -207,7 +207,14 @@
         .flat_map(|number| submit(&mut fleet, START, request(number, 2_000, 100)))
         .collect();
     expect_that!(new_ones(&placed), eq(1));
-    let placed = submit_many(&mut fleet, START, 20..60);
+    // These requests run on, so that the other new endpoints have fewer.
+    let placed: Vec<_> = (20..60)
+        .flat_map(|number| {
+            let now = START + Duration::from_millis(10) * number;
+            let number = u64::from(number);
+            placements(&fleet.handle(now, Event::Submit(request(number, 500, 100))))
+        })
+        .collect();
     expect_that!(new_ones(&placed), eq(9));
     for each in placed.iter().filter(|each| is_new(&each.decode)) {
         expect_that!(each.decode.as_str(), eq("n-d-1"));
@@ -317,6 +324,21 @@
     }
 }
 
+/// Guards against a prefill that the scheduler does not expect at its endpoint.
+#[gtest]
+fn the_prefill_of_a_request_whose_kv_cache_is_not_used_occupies_its_endpoint() {
+    let mut fleet = fleet(both_versions(RolloutPhase::Moving));
+    let with_cache = PlacementRequest {
+        kv_cache_at: Some("p-1".parse().unwrap()),
+        ..request(1, 5_000, 100)
+    };
+    let first = placements(&fleet.handle(START, Event::Submit(with_cache)));
+    let second = placements(&fleet.handle(START, Event::Submit(request(2, 5_000, 100))));
+    let prefills = [&first, &second].map(|placed| placed[0].prefill.clone());
+    expect_that!(prefills[0], some(anything()));
+    expect_that!(prefills[0], not(eq(&prefills[1])));
+}
+
 #[gtest]
 fn a_stream_resumes_on_the_version_on_which_it_began() {
     let resumed = |number, began_on| PlacementRequest {
