--- a/crates/mimosa-rollout/src/exposure.rs
+++ b/crates/mimosa-rollout/src/exposure.rs
@@ -17,6 +17,11 @@
 pub const PERMIT_LEASE: Duration = Duration::from_secs(1);
 /// Time after which a report no longer counts towards the request rate of its gateway.
 const RATE_WINDOW: Duration = Duration::from_secs(2);
+/// Lowest rate that a gateway is assumed to have, so that permits to many idle gateways count.
+const MIN_GATEWAY_RATE: f64 = 0.02;
+/// Rate of a gateway before it is measured: high enough that the first permits are not given to all
+/// gateways at once.
+const UNKNOWN_GATEWAY_RATE: f64 = 1.0;
 /// Smallest reservation, so that slow services need few log entries. A leader that is lost wastes at
 /// most one block.
 const MIN_BLOCK: u64 = 8;
@@ -59,6 +64,8 @@
     /// Until then, permits of a predecessor may still be in use.
     usable_from: Timestamp,
     gateways: HashMap<InstanceId, GatewayAccount>,
+    /// Sums over `gateways`.
+    sums: Sums,
     /// Requests and unconfirmed permits of gateway processes that were replaced.
     past_requests: u64,
     past_permits: u64,
@@ -68,6 +75,16 @@
     pending: Option<(u64, u64)>,
 }
 
+/// Sums over gateways, so that a report costs no walk over all of them.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sums {
+    requests: u64,
+    held_or_used: u64,
+    used: u64,
+    rate: f64,
+    expected_use: f64,
+}
+
 #[derive(Clone, Debug, Default)]
 struct GatewayAccount {
     incarnation: Incarnation,
@@ -79,6 +96,7 @@
     /// Start of the interval over which the rate is measured, and the requests before it.
     rate_from: Option<(Timestamp, u64)>,
     rate: f64,
+    is_rate_known: bool,
     reported_at: Timestamp,
 }
 
@@ -103,6 +121,7 @@
             foreign: reserved,
             usable_from: now + wait,
             gateways: HashMap::new(),
+            sums: Sums::default(),
             past_requests: 0,
             past_permits: 0,
             own: 0,
@@ -124,20 +143,21 @@
             // The earlier process ended; what it held is never confirmed.
             self.past_requests += account.requests;
             self.past_permits += account.held_or_used();
+            self.sums.subtract(account);
             *account = GatewayAccount::default();
+            self.sums.add(account);
         }
         if report.sequence <= account.sequence {
             return false;
         }
+        self.sums.subtract(account);
         account.incarnation = incarnation;
         account.sequence = report.sequence;
         account.record_requests(now, report.requests);
         if report.term == self.term {
-            let expired = report.expired.min(account.granted);
-            account.expired = account.expired.max(expired);
-            let used = report.used.min(account.granted - account.expired);
-            account.used = account.used.max(used);
+            account.record_permits(report.used, report.expired);
         }
+        self.sums.add(account);
         true
     }
 
@@ -149,7 +169,9 @@
             return 0;
         };
         let granted = wanted.min(available);
+        self.sums.subtract(account);
         account.granted += granted;
+        self.sums.add(account);
         granted
     }
 
@@ -177,8 +199,7 @@
     /// Permits that count as used: those of other leaders, and those granted here and not confirmed
     /// as unused.
     pub fn committed(&self) -> u64 {
-        let granted: u64 = self.gateways.values().map(|a| a.held_or_used()).sum();
-        self.foreign + self.past_permits + granted + self.own
+        self.foreign + self.past_permits + self.sums.held_or_used + self.own
     }
 
     /// Permits that gateways hold and have reported neither as used nor as expired.
@@ -189,8 +210,7 @@
 
     /// All requests for the service that gateways reported.
     pub fn requests(&self) -> u64 {
-        let reported: u64 = self.gateways.values().map(|a| a.requests).sum();
-        self.past_requests + reported
+        self.past_requests + self.sums.requests
     }
 
     /// The most permits that may ever count as used, after the requests reported so far.
@@ -198,16 +218,42 @@
         self.settings.limit(self.requests())
     }
 
+    /// The most permits that may count as used after a number of requests.
+    pub fn limit_for(&self, requests: u64) -> u64 {
+        self.settings.limit(requests)
+    }
+
+    /// Permits that were used, as far as is known; at most [`Self::committed`].
+    pub fn used(&self) -> u64 {
+        self.foreign + self.past_permits + self.sums.used + self.own
+    }
+
+    /// Permits in circulation that will be used within a second, if gateways keep their rates.
+    pub fn expected_use(&self) -> f64 {
+        self.sums.expected_use
+    }
+
+    /// Leaves out the rates of gateways that no longer report. Called several times a second.
+    pub fn refresh(&mut self, now: Timestamp) {
+        let gateways = self.gateways.values_mut();
+        for account in gateways {
+            if now.since(account.reported_at) >= RATE_WINDOW {
+                account.rate = 0.0;
+            }
+        }
+        self.sums = Sums::default();
+        let gateways = self.gateways.values();
+        gateways.for_each(|account| self.sums.add(account));
+    }
+
     /// Requests per second of all gateways that reported recently.
-    pub fn request_rate(&self, now: Timestamp) -> f64 {
-        let recent = self.gateways.values();
-        let recent = recent.filter(|a| now.since(a.reported_at) < RATE_WINDOW);
-        recent.map(|a| a.rate).sum()
+    pub fn request_rate(&self) -> f64 {
+        self.sums.rate
     }
 
-    /// Requests per second of one gateway.
+    /// Requests per second of one gateway, at least [`MIN_GATEWAY_RATE`].
     pub fn gateway_rate(&self, gateway: &InstanceId) -> f64 {
-        self.gateways.get(gateway).map_or(0.0, |a| a.rate)
+        self.gateways.get(gateway).map_or(0.0, GatewayAccount::rate)
     }
 
     /// Starts a reservation so that `wanted` permits can be granted beyond those that count as used.
@@ -253,10 +299,29 @@
 }
 
 impl GatewayAccount {
+    fn rate(&self) -> f64 {
+        match self.is_rate_known {
+            true => self.rate.max(MIN_GATEWAY_RATE),
+            false => UNKNOWN_GATEWAY_RATE,
+        }
+    }
+
     fn held_or_used(&self) -> u64 {
         self.granted - self.expired
     }
 
+    fn record_permits(&mut self, used: u64, expired: u64) {
+        self.expired = self.expired.max(expired.min(self.granted));
+        let used = used.min(self.granted - self.expired);
+        self.used = self.used.max(used);
+    }
+
+    /// Permits in circulation that will be used within a second, if the gateway keeps its rate.
+    fn expected_use(&self) -> f64 {
+        let held = self.held_or_used().saturating_sub(self.used) as f64;
+        held.min(held * self.rate()).min(self.rate())
+    }
+
     fn record_requests(&mut self, now: Timestamp, requests: u64) {
         self.requests = self.requests.max(requests);
         self.reported_at = now;
@@ -266,8 +331,31 @@
         };
         let elapsed = now.since(from);
         if elapsed >= RATE_WINDOW / 2 {
-            self.rate = (self.requests - before) as f64 / elapsed.as_secs_f64();
+            let rate = (self.requests - before) as f64 / elapsed.as_secs_f64();
+            self.rate = match self.is_rate_known {
+                true => self.rate * 0.6 + rate * 0.4,
+                false => rate,
+            };
+            self.is_rate_known = true;
             self.rate_from = Some((now, self.requests));
         }
     }
 }
+
+impl Sums {
+    fn add(&mut self, account: &GatewayAccount) {
+        self.requests += account.requests;
+        self.held_or_used += account.held_or_used();
+        self.used += account.used;
+        self.rate += account.rate;
+        self.expected_use += account.expected_use();
+    }
+
+    fn subtract(&mut self, account: &GatewayAccount) {
+        self.requests -= account.requests;
+        self.held_or_used -= account.held_or_used();
+        self.used -= account.used;
+        self.rate -= account.rate;
+        self.expected_use -= account.expected_use();
+    }
+}
