--- a/crates/mimosa-schedule/src/fleet.rs
+++ b/crates/mimosa-schedule/src/fleet.rs
@@ -20,6 +20,7 @@
 
 use mimosa_protocol::EndpointId;
 use mimosa_protocol::InstanceId;
+use mimosa_protocol::ServiceVersion;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::configuration::EndpointRole;
 
@@ -89,6 +90,8 @@
     handover_until: Timestamp,
     /// Permits for placements on the new version of a rollout.
     permits: Permits,
+    /// The versions of the decode endpoints that requests may use without a permit.
+    open_versions: Vec<Option<ServiceVersion>>,
 }
 
 impl FleetScheduler {
@@ -98,6 +101,7 @@
         Self {
             handover_until,
             permits: Permits::default(),
+            open_versions: Vec::new(),
             tries: 0,
             has_new_capacity: true,
             last_scan: Timestamp::ZERO,
@@ -274,6 +278,7 @@
         let rollout = view.rollout.as_ref();
         self.permits
             .set_rollout(rollout.map(|rollout| rollout.number));
+        self.open_versions = self.find_open_versions();
         self.view = view;
         self.is_configured = true;
     }
--- a/crates/mimosa-schedule/src/fleet/pools.rs
+++ b/crates/mimosa-schedule/src/fleet/pools.rs
@@ -57,13 +57,13 @@
                 VersionUse::Excluded => Vec::new(),
             };
         }
-        let mut pools = self.open_versions();
+        let versions = self.open_versions.iter().cloned();
+        let mut pools: Vec<_> = versions.map(Pool::Version).collect();
         if pools.len() > 1 {
             // Spreads the requests over several old versions.
             let first = request.id.number % pools.len() as u64;
             pools.rotate_left(usize::try_from(first).unwrap_or_default());
         }
-        let mut pools: Vec<_> = pools.into_iter().map(Pool::Version).collect();
         if self.may_use_permit(rollout, request) {
             pools.splice(0..0, self.permit_pool(now, rollout, request));
         }
@@ -123,7 +123,7 @@
     }
 
     /// The versions of the decode endpoints that requests may use without a permit.
-    fn open_versions(&self) -> Vec<Option<ServiceVersion>> {
+    pub(super) fn find_open_versions(&self) -> Vec<Option<ServiceVersion>> {
         let open = self.endpoints.values().filter(|each| each.is_open);
         let decodes = open.filter(|each| each.is_decode());
         let mut versions: Vec<_> = decodes.map(|each| each.version.clone()).collect();
