--- a/crates/mimosa-state/src/command.rs
+++ b/crates/mimosa-state/src/command.rs
@@ -1,13 +1,18 @@
 //! Commands of the replicated log and their results.
 
+use std::time::Duration;
+
 use mimosa_protocol::DataCentreId;
 use mimosa_protocol::InstanceId;
+use mimosa_protocol::ServiceId;
+use mimosa_protocol::ServiceVersion;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::data;
 use mimosa_protocol::hash::Sha256Digest;
 use mimosa_protocol::message::LedgerAnswer;
 use mimosa_protocol::message::LedgerBegin;
 use mimosa_protocol::message::LedgerFinish;
+use mimosa_rollout::RolloutNumber;
 
 use crate::intent::Intent;
 use crate::orders::OrderId;
@@ -15,6 +20,9 @@
 use crate::plan::Plan;
 use crate::plan::PlanId;
 use crate::refusal::Refusal;
+use crate::rollouts::PhaseChange;
+use crate::rollouts::RolloutOrdered;
+use crate::rollouts::RolloutRefusal;
 use crate::routing::AdoptedDocument;
 
 data! {
@@ -70,6 +78,35 @@
             /// The log index up to which everything was committed when the order was received.
             as_of: u64,
         },
+        /// Starts a rollout, unless the order repeats an earlier one.
+        StartRollout {
+            /// The service, which must be in the adopted routing document.
+            service: ServiceId,
+            /// The new version.
+            to: ServiceVersion,
+            /// Time from the order to the end.
+            duration: Duration,
+        },
+        /// Raises the exposure that a rollout may have used, before the leader grants it.
+        ReserveExposure {
+            /// The service of the rollout.
+            service: ServiceId,
+            /// The rollout.
+            number: RolloutNumber,
+            /// The reserved total on which the proposer relies.
+            expected: u64,
+            /// The new total.
+            total: u64,
+        },
+        /// Changes the phase of a rollout.
+        ChangeRollout {
+            /// The service of the rollout.
+            service: ServiceId,
+            /// The rollout.
+            number: RolloutNumber,
+            /// The phase that it enters.
+            change: PhaseChange,
+        },
     }
 
     /// The result of applying a command.
@@ -93,6 +130,20 @@
         /// [`Operation::OrderDataCentreOut`] changed nothing, as the opposite took effect after the order
         /// was received.
         RoutingSuperseded,
+        /// The rollout that [`Operation::StartRollout`] started or repeats, or why there is none.
+        RolloutStarted(Result<RolloutOrdered, RolloutRefusal>),
+        /// The result of [`Operation::ReserveExposure`].
+        ExposureReserved {
+            /// Whether the total was raised.
+            accepted: bool,
+            /// What is reserved now.
+            reserved: u64,
+        },
+        /// The result of [`Operation::ChangeRollout`].
+        RolloutChanged {
+            /// Whether the rollout entered the phase.
+            changed: bool,
+        },
     }
 }
 
--- a/crates/mimosa-state/src/lib.rs
+++ b/crates/mimosa-state/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`planning`] turns an intent into the effects of a plan or into a typed [`refusal`].
 //! * [`orders`] keeps the first answer to each order for resends; [`audit`] records who did what.
 //! * [`ledger`] deduplicates non-idempotent calls.
+//! * [`rollouts`] holds the latest rollout of each service.
 //! * [`engine`] holds the orders to engines, each with a fencing token.
 
 pub mod audit;
@@ -21,6 +22,7 @@
 pub mod plan;
 pub mod planning;
 pub mod refusal;
+pub mod rollouts;
 pub mod routing;
 pub mod undo;
 
--- a/crates/mimosa-state/src/machine.rs
+++ b/crates/mimosa-state/src/machine.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use mimosa_protocol::Change;
 use mimosa_protocol::Configuration;
@@ -10,8 +11,11 @@
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::OrderNumber;
 use mimosa_protocol::Revision;
+use mimosa_protocol::ServiceId;
+use mimosa_protocol::ServiceVersion;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::change::Delta;
+use mimosa_rollout::RolloutNumber;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -37,6 +41,10 @@
 use crate::plan::PlanId;
 use crate::planning;
 use crate::refusal::Refusal;
+use crate::rollouts::PhaseChange;
+use crate::rollouts::RolloutOrdered;
+use crate::rollouts::RolloutRefusal;
+use crate::rollouts::Rollouts;
 use crate::routing::RoutingState;
 use crate::undo;
 
@@ -62,6 +70,7 @@
     ledger: Ledger,
     engine_orders: EngineOrders,
     routing: RoutingState,
+    rollouts: Rollouts,
 }
 
 impl StateMachine {
@@ -105,6 +114,28 @@
                 }
                 self.set_data_centre_out(index, data_centre, out)
             }
+            Operation::StartRollout {
+                service,
+                to,
+                duration,
+            } => CommandResult::RolloutStarted(self.start_rollout(&service, to, duration)),
+            Operation::ReserveExposure {
+                service,
+                number,
+                expected,
+                total,
+            } => {
+                let reserved = self.rollouts.reserve(&service, number, expected, total);
+                let (accepted, reserved) = reserved;
+                CommandResult::ExposureReserved { accepted, reserved }
+            }
+            Operation::ChangeRollout {
+                service,
+                number,
+                change,
+            } => CommandResult::RolloutChanged {
+                changed: self.change_rollout(&service, number, change),
+            },
         }
     }
 
@@ -157,6 +188,64 @@
         &self.routing
     }
 
+    /// The latest rollout of each service.
+    pub const fn rollouts(&self) -> &Rollouts {
+        &self.rollouts
+    }
+
+    /// The latest time of a command.
+    pub const fn now(&self) -> Timestamp {
+        self.now
+    }
+
+    /// The log index of the last change that gateways learn: of routing, or of the phase of a rollout.
+    pub fn gateway_state_index(&self) -> u64 {
+        self.routing
+            .last_changed()
+            .max(self.rollouts.last_changed())
+    }
+
+    fn start_rollout(
+        &mut self,
+        service: &ServiceId,
+        to: ServiceVersion,
+        duration: Duration,
+    ) -> Result<RolloutOrdered, RolloutRefusal> {
+        let action = format!(
+            "roll out service {service} to version {to} in {} ms",
+            duration.as_millis()
+        );
+        let result = self
+            .rollouts
+            .start(self.now, self.applied, service, to, duration);
+        match &result {
+            Ok(ordered) if ordered.started => self.audit_routing(action, Ok(())),
+            Ok(_) => {}
+            Err(refusal) => self.audit_routing(action, Err(refusal)),
+        }
+        result
+    }
+
+    fn change_rollout(
+        &mut self,
+        service: &ServiceId,
+        number: RolloutNumber,
+        change: PhaseChange,
+    ) -> bool {
+        let action = format!(
+            "rollout {number} of service {service} is {}: {}",
+            change.phase, change.reason
+        );
+        let index = self.applied;
+        let changed = self
+            .rollouts
+            .enter(self.now, index, service, number, change);
+        if changed {
+            self.audit_routing(action, Ok(()));
+        }
+        changed
+    }
+
     fn set_data_centre_out(
         &mut self,
         index: u64,
@@ -171,23 +260,34 @@
 
     fn audit_routing_change(&mut self, action: String, changed: bool) -> CommandResult {
         if changed {
-            let operator = ROUTING_OPERATOR.parse().expect("a valid operator name");
-            self.audit.append(AuditRecord {
-                sequence: 0,
-                at: self.now,
-                operator,
-                number: OrderNumber(self.applied),
-                action,
-                plan: None,
-                lines: Vec::new(),
-                result: AuditResult::Accepted {
-                    revision: self.configuration.revision,
-                },
-            });
+            self.audit_routing(action, Ok(()));
         }
         CommandResult::RoutingChanged { changed }
     }
 
+    fn audit_routing(&mut self, action: String, result: Result<(), &RolloutRefusal>) {
+        let operator = ROUTING_OPERATOR.parse().expect("a valid operator name");
+        let result = match result {
+            Ok(()) => AuditResult::Accepted {
+                revision: self.configuration.revision,
+            },
+            Err(refusal) => AuditResult::Refused {
+                code: "rollout_running".to_owned(),
+                reason: refusal.to_string(),
+            },
+        };
+        self.audit.append(AuditRecord {
+            sequence: 0,
+            at: self.now,
+            operator,
+            number: OrderNumber(self.applied),
+            action,
+            plan: None,
+            lines: Vec::new(),
+            result,
+        });
+    }
+
     /// Encodes the state as a snapshot.
     pub fn encode(&self) -> Vec<u8> {
         postcard::to_stdvec(self).expect("every part of the state can be encoded")
@@ -200,9 +300,12 @@
     /// If the bytes are not a snapshot in the encoding of this version.
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         postcard::from_bytes(bytes).or_else(|e| {
-            // Snapshots of earlier versions lack the last field, a map; a zero encodes an empty one.
-            let with_empty_map = [bytes, &[0]].concat();
-            postcard::from_bytes(&with_empty_map).map_err(|_| e)
+            // Snapshots of earlier versions lack one or both of the last fields, which are maps; a zero
+            // encodes an empty one.
+            let with_empty_maps = |count| [bytes, &[0, 0][..count]].concat();
+            postcard::from_bytes(&with_empty_maps(1))
+                .or_else(|_| postcard::from_bytes(&with_empty_maps(2)))
+                .map_err(|_| e)
         })
     }
 
