Driver of rollouts on control instances

Cause: reports of gateways must become permits and decisions on the leader. Change: a task that follows the rollouts in the log, answers reports, proposes reservations and phases, logs each decision with its counts and sets metrics; control states carry the views of rollouts.

--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -41,6 +41,7 @@
 use crate::routing::balancer::RoleChange;
 use crate::routing::metrics::Metrics;
 use crate::routing::published::PublishedList;
+use crate::routing::rollouts::RolloutDriver;
 use crate::shared::SharedState;
 
 mod inner;
@@ -64,6 +65,7 @@
     shared: Arc<SharedState>,
     format: Arc<dyn DocumentFormat>,
     endpoints: watch::Receiver<Arc<PublishedList>>,
+    rollouts: Arc<RolloutDriver>,
     metrics: Metrics,
     started: std::time::Instant,
     wake_changed: Notify,
@@ -80,6 +82,7 @@
         shared: Arc<SharedState>,
         format: Arc<dyn DocumentFormat>,
         endpoints: watch::Receiver<Arc<PublishedList>>,
+        rollouts: Arc<RolloutDriver>,
         tolerance: Tolerance,
         metrics: Metrics,
     ) -> Self {
@@ -88,6 +91,7 @@
             shared,
             format,
             endpoints,
+            rollouts,
             started: std::time::Instant::now(),
             wake_changed: Notify::new(),
             overloaded: watch::Sender::default(),
@@ -376,8 +380,18 @@
                     _ => {}
                 }
             }
-            GatewayMessage::ReportRollout(_)
-            | GatewayMessage::Hello { .. }
+            GatewayMessage::ReportRollout(report) => {
+                let connected = inner.gateways.get(gateway);
+                let incarnation = connected.map(|connected| connected.incarnation);
+                // Permits that cannot be sent count as used, because nothing confirms them.
+                if inner.leads
+                    && let Some(incarnation) = incarnation
+                    && let Some(grant) = self.rollouts.on_report(gateway, incarnation, &report)
+                {
+                    inner.send(gateway, ControlMessage::GrantPermits(grant));
+                }
+            }
+            GatewayMessage::Hello { .. }
             | GatewayMessage::RequestDocument
             | GatewayMessage::RequestEndpoints { .. } => {}
         }
--- a/crates/mimosa-control/src/routing/gateway_port.rs
+++ b/crates/mimosa-control/src/routing/gateway_port.rs
@@ -215,11 +215,14 @@
     fn control_state(&self) -> Result<Frame> {
         let status = self.replicator.status();
         let members = status.voters.iter().chain(&status.learners);
-        let (version, data_centres_out, routing_index) = self.shared.read(|machine| {
+        let (version, data_centres_out, routing_index, rollouts) = self.shared.read(|machine| {
             let routing = machine.routing();
             let version = routing.document().map(|document| document.version);
             let data_centres_out = routing.data_centres_out().iter().cloned().collect();
-            (version, data_centres_out, routing.last_changed())
+            let rollouts = machine.rollouts().iter();
+            let rollouts = rollouts.map(|(service, rollout)| rollout.view(service));
+            let routing_index = machine.gateway_state_index();
+            (version, data_centres_out, routing_index, rollouts.collect())
         });
         let state = ControlState {
             data_centre: self.data_centre.clone(),
@@ -230,7 +233,7 @@
             gateways: self.dispatcher.gateways(),
             data_centres_out,
             routing_index,
-            rollouts: Vec::new(),
+            rollouts,
         };
         Ok(frame::encode(&ControlMessage::State(state))?.into())
     }
--- a/crates/mimosa-control/src/routing/metrics.rs
+++ b/crates/mimosa-control/src/routing/metrics.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
+use mimosa_protocol::ServiceId;
 use mimosa_protocol::Tokens;
+use mimosa_rollout::RolloutPhase;
+use mimosa_rollout::trial::Trial;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::IntCounterVec;
@@ -27,6 +30,9 @@
     may_order: IntGauge,
     quota_loans: IntCounterVec,
     sync_time: Histogram,
+    rollout_responses: IntGaugeVec,
+    rollout_exposure: IntGaugeVec,
+    rollout_phases: IntCounterVec,
 }
 
 /// Upper bounds of the sync time buckets: from a write cache to a disk that hangs.
@@ -88,6 +94,30 @@
             .buckets(SYNC_BUCKETS_SECONDS.to_vec()),
         );
         let sync_time = sync_time.expect("the name is valid");
+        let rollout_responses = IntGaugeVec::new(
+            Opts::new(
+                "mimosa_control_rollout_responses",
+                "Responses during running rollouts, by service, version and outcome",
+            ),
+            &["service", "version", "outcome"],
+        );
+        let rollout_responses = rollout_responses.expect("the name is valid");
+        let rollout_exposure = IntGaugeVec::new(
+            Opts::new(
+                "mimosa_control_rollout_exposure",
+                "Requests to the new version during running rollouts, by service: used, and the limit",
+            ),
+            &["service", "kind"],
+        );
+        let rollout_exposure = rollout_exposure.expect("the name is valid");
+        let rollout_phases = IntCounterVec::new(
+            Opts::new(
+                "mimosa_control_rollout_phases_total",
+                "Phases that this leader made rollouts enter",
+            ),
+            &["phase"],
+        );
+        let rollout_phases = rollout_phases.expect("the name is valid");
         let decisions = decisions.expect("the name is valid");
         let requests = requests.expect("the name is valid");
         for collector in [
@@ -95,6 +125,9 @@
             Box::new(requests.clone()),
             Box::new(quota_loans.clone()),
             Box::new(sync_time.clone()),
+            Box::new(rollout_responses.clone()),
+            Box::new(rollout_exposure.clone()),
+            Box::new(rollout_phases.clone()),
         ] {
             registry
                 .register(collector)
@@ -112,6 +145,9 @@
             may_order,
             quota_loans,
             sync_time,
+            rollout_responses,
+            rollout_exposure,
+            rollout_phases,
         }))
     }
 }
@@ -162,6 +198,43 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets the figures of a running rollout.
+    pub(crate) fn set_rollout(&self, service: &ServiceId, trial: &Trial) {
+        let service = service.as_str();
+        let comparison = trial.comparison();
+        for (version, counts) in [
+            ("new", comparison.new_counts()),
+            ("old", comparison.old_counts()),
+        ] {
+            for (outcome, count) in [
+                ("complete", counts.complete),
+                ("failed", counts.failed),
+                ("refused", counts.refused),
+            ] {
+                let labels = [service, version, outcome];
+                let gauge = self.0.rollout_responses.with_label_values(&labels);
+                gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+            }
+        }
+        let account = trial.account();
+        for (kind, value) in [("used", account.committed()), ("limit", account.limit())] {
+            let gauge = self.0.rollout_exposure.with_label_values(&[service, kind]);
+            gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+        }
+    }
+
+    /// Removes the figures of all rollouts, while this instance does not lead.
+    pub(crate) fn clear_rollouts(&self) {
+        self.0.rollout_responses.reset();
+        self.0.rollout_exposure.reset();
+    }
+
+    pub(crate) fn count_rollout_phase(&self, phase: RolloutPhase) {
+        let phase = phase.to_string();
+        let counter = self.0.rollout_phases.with_label_values(&[phase.as_str()]);
+        counter.inc();
+    }
+
     pub(crate) fn set_gateways(&self, count: usize) {
         self.0
             .gateways
--- a/crates/mimosa-control/src/server.rs
+++ b/crates/mimosa-control/src/server.rs
@@ -47,6 +47,7 @@
 use crate::routing::gateway_port::GatewayPort;
 use crate::routing::listing;
 use crate::routing::metrics::Metrics;
+use crate::routing::rollouts::RolloutDriver;
 use crate::settings::Reloadable;
 use crate::settings::Settings;
 use crate::shared::SharedState;
@@ -327,11 +328,20 @@
             published,
         );
         self.tasks.spawn(listing_task);
+        let rollouts = Arc::new(RolloutDriver::new(
+            Arc::clone(replicator),
+            Arc::clone(&self.shared),
+            endpoints.clone(),
+            self.settings.exposure,
+            self.metrics.clone(),
+        ));
+        self.tasks.spawn(Arc::clone(&rollouts).run());
         let dispatcher = Arc::new(Dispatcher::new(
             Arc::clone(replicator),
             Arc::clone(&self.shared),
             Arc::clone(&integration.format),
             endpoints.clone(),
+            rollouts,
             self.settings.quota_tolerance,
             self.metrics.clone(),
         ));
--- a/crates/mimosa-control/src/settings.rs
+++ b/crates/mimosa-control/src/settings.rs
@@ -16,6 +16,7 @@
 use mimosa_protocol::OperatorId;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::hash::Sha256Digest;
+use mimosa_rollout::exposure::ExposureSettings;
 
 /// Incarnation of every replica that bootstraps a cluster together with others. Later incarnations
 /// are the start time in microseconds since 1970 and therefore higher.
@@ -59,6 +60,8 @@
     pub voter_policy: Option<VoterPolicy>,
     /// How far gateway accounts may exceed their quotas.
     pub quota_tolerance: Tolerance,
+    /// The limit on the requests to a version under test in a rollout.
+    pub exposure: ExposureSettings,
     /// Time without a message of the leader after which a follower starts an election.
     pub election_timeout: Duration,
     /// Interval of the leader's heartbeats to the other control instances.
@@ -157,6 +160,7 @@
             metrics: None,
             voter_policy: None,
             quota_tolerance: Tolerance::default(),
+            exposure: ExposureSettings::default(),
             election_timeout: Duration::from_millis(1_000),
             replica_heartbeat: Duration::from_millis(100),
             snapshot_after: 4_096,
--- a/crates/mimosa-control/src/shared.rs
+++ b/crates/mimosa-control/src/shared.rs
@@ -14,7 +14,7 @@
 pub struct SharedState {
     machine: RwLock<StateMachine>,
     revision: watch::Sender<Revision>,
-    /// The log index of the last routing change.
+    /// The log index of the last change of routing or of the phase of a rollout.
     routing: watch::Sender<u64>,
 }
 
@@ -22,7 +22,7 @@
     /// Starts from `machine`; its current revision counts as announced.
     pub fn new(machine: StateMachine) -> Self {
         let (revision, _) = watch::channel(machine.configuration().revision);
-        let (routing, _) = watch::channel(machine.routing().last_changed());
+        let (routing, _) = watch::channel(machine.gateway_state_index());
         Self {
             machine: RwLock::new(machine),
             revision,
@@ -56,14 +56,15 @@
         self.revision.subscribe()
     }
 
-    /// Subscribes to the log index of the last change of the routing state.
+    /// Subscribes to the log index of the last change of the routing state or of a
+    /// rollout's phase.
     pub fn routing_changes(&self) -> watch::Receiver<u64> {
         self.routing.subscribe()
     }
 
     fn announce(&self, machine: &StateMachine) {
         let revision = machine.configuration().revision;
-        let routing_index = machine.routing().last_changed();
+        let routing_index = machine.gateway_state_index();
         self.routing.send_if_modified(|announced| {
             let is_newer = routing_index > *announced;
             *announced = routing_index.max(*announced);
--- a/crates/mimosa-rollout/src/comparison.rs
+++ b/crates/mimosa-rollout/src/comparison.rs
@@ -116,6 +116,11 @@
     pub fn start_move(&mut self, now: Timestamp) {
         self.last_evaluated = None;
         self.evaluate(now);
+        self.freeze_baseline();
+    }
+
+    /// Takes no further responses of the old version into the baseline.
+    pub const fn freeze_baseline(&mut self) {
         self.baseline.freeze();
     }
 
--- a/crates/mimosa-rollout/src/exposure.rs
+++ b/crates/mimosa-rollout/src/exposure.rs
@@ -13,7 +13,7 @@
 
 use crate::message::RolloutReport;
 
-/// How long a permit may be used.
+/// Longest time for which a permit may be used. A successor waits it out.
 pub const PERMIT_LEASE: Duration = Duration::from_secs(1);
 /// Time after which a report no longer counts towards the request rate of its gateway.
 const RATE_WINDOW: Duration = Duration::from_secs(2);
@@ -33,6 +33,8 @@
     pub share: f64,
     /// Requests beyond that part.
     pub slack: u64,
+    /// How long a permit may be used; at most [`PERMIT_LEASE`].
+    pub lease: Duration,
 }
 
 impl Default for ExposureSettings {
@@ -40,6 +42,7 @@
         Self {
             share: 0.1,
             slack: 50,
+            lease: PERMIT_LEASE,
         }
     }
 }
--- a/crates/mimosa-rollout/src/trial.rs
+++ b/crates/mimosa-rollout/src/trial.rs
@@ -35,6 +35,10 @@
 const END_ALLOWANCE: Duration = Duration::from_millis(350);
 /// Shortest time under the full load before a move completes, as a version may be bad only under load.
 const MIN_FULL_LOAD: Duration = Duration::from_millis(700);
+/// The same for a leader that took over during the move, to which gateways have to connect first.
+const MIN_TAKEOVER_LOAD: Duration = Duration::from_millis(1_500);
+/// Time after the move in which the counts from before it arrive at a leader that took over.
+const FREEZE_AFTER: Duration = Duration::from_millis(600);
 /// How long a gateway may be silent before it no longer delays the completion. Its connection has
 /// ended, or its link is worse than the gateways' own time-outs allow.
 const SILENCE_LIMIT: Duration = Duration::from_secs(3);
@@ -131,16 +135,11 @@
             start.reserved,
             start.is_successor,
         );
-        let mut comparison = Comparison::default();
-        if start.phase == RolloutPhase::Moving {
-            // The responses from before the move arrive with the first reports.
-            comparison.evaluate(now);
-        }
         Self {
             phase: start.phase,
             schedule: Schedule::new(now, start.elapsed, start.duration, start.is_model),
             account,
-            comparison,
+            comparison: Comparison::default(),
             endpoints: EndpointCounts::default(),
             gateways: HashMap::new(),
             proposed: None,
@@ -226,7 +225,7 @@
             term: self.start.term,
             sequence: report.sequence,
             permits: u32::try_from(permits).unwrap_or(u32::MAX),
-            lease: PERMIT_LEASE,
+            lease: self.start.exposure.lease.min(PERMIT_LEASE),
             endpoints: self.endpoints_in_test(now),
         })
     }
@@ -259,6 +258,10 @@
         }
         self.account.refresh(now);
         self.comparison.evaluate(now);
+        let moving_for = self.moving_since.map(|since| now.since(since));
+        if moving_for.is_some_and(|moving_for| moving_for >= FREEZE_AFTER) {
+            self.comparison.freeze_baseline();
+        }
         if let Some((phase, reason)) = self.decide(now) {
             self.is_condemned |= phase == RolloutPhase::RolledBack;
             if self.proposed == Some(phase) {
@@ -335,7 +338,11 @@
                     return Some((RolloutPhase::RolledBack, reason));
                 }
                 let loaded = self.moving_since.map(|since| now.since(since));
-                let is_drained = loaded.is_some_and(|loaded| loaded >= MIN_FULL_LOAD)
+                let min_load = match self.start.phase == RolloutPhase::Moving {
+                    true => MIN_TAKEOVER_LOAD,
+                    false => MIN_FULL_LOAD,
+                };
+                let is_drained = loaded.is_some_and(|loaded| loaded >= min_load)
                     && suspicion <= MAX_SUSPICION
                     && self.is_drained(now);
                 (is_drained || is_last_moment).then(|| {
--- a/crates/mimosa-state/src/machine.rs
+++ b/crates/mimosa-state/src/machine.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
-use std::time::Duration;
 
 use mimosa_protocol::Change;
 use mimosa_protocol::Configuration;
@@ -11,11 +10,8 @@
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::OrderNumber;
 use mimosa_protocol::Revision;
-use mimosa_protocol::ServiceId;
-use mimosa_protocol::ServiceVersion;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::change::Delta;
-use mimosa_rollout::RolloutNumber;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -41,13 +37,13 @@
 use crate::plan::PlanId;
 use crate::planning;
 use crate::refusal::Refusal;
-use crate::rollouts::PhaseChange;
-use crate::rollouts::RolloutOrdered;
 use crate::rollouts::RolloutRefusal;
 use crate::rollouts::Rollouts;
 use crate::routing::RoutingState;
 use crate::undo;
 
+mod rollouts;
+
 /// Deltas kept for entries that lag behind; an entry that lags further gets the whole
 /// configuration.
 pub const MAX_DELTAS: usize = 256;
@@ -188,64 +184,6 @@
         &self.routing
     }
 
-    /// The latest rollout of each service.
-    pub const fn rollouts(&self) -> &Rollouts {
-        &self.rollouts
-    }
-
-    /// The latest time of a command.
-    pub const fn now(&self) -> Timestamp {
-        self.now
-    }
-
-    /// The log index of the last change that gateways learn: of routing, or of the phase of a rollout.
-    pub fn gateway_state_index(&self) -> u64 {
-        self.routing
-            .last_changed()
-            .max(self.rollouts.last_changed())
-    }
-
-    fn start_rollout(
-        &mut self,
-        service: &ServiceId,
-        to: ServiceVersion,
-        duration: Duration,
-    ) -> Result<RolloutOrdered, RolloutRefusal> {
-        let action = format!(
-            "roll out service {service} to version {to} in {} ms",
-            duration.as_millis()
-        );
-        let result = self
-            .rollouts
-            .start(self.now, self.applied, service, to, duration);
-        match &result {
-            Ok(ordered) if ordered.started => self.audit_routing(action, Ok(())),
-            Ok(_) => {}
-            Err(refusal) => self.audit_routing(action, Err(refusal)),
-        }
-        result
-    }
-
-    fn change_rollout(
-        &mut self,
-        service: &ServiceId,
-        number: RolloutNumber,
-        change: PhaseChange,
-    ) -> bool {
-        let action = format!(
-            "rollout {number} of service {service} is {}: {}",
-            change.phase, change.reason
-        );
-        let index = self.applied;
-        let changed = self
-            .rollouts
-            .enter(self.now, index, service, number, change);
-        if changed {
-            self.audit_routing(action, Ok(()));
-        }
-        changed
-    }
-
     fn set_data_centre_out(
         &mut self,
         index: u64,
