Supply the schedulers of models with permits and rollouts

Cause: the schedulers did not learn of rollouts, so the leader placed requests of models on all versions. Gateways get no permits for models, which they cannot use.

--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -422,12 +422,14 @@
             self.metrics.set_quarantined(0);
             inner.overloaded.clear();
             inner.routing_index = None;
+            inner.rollouts_index = None;
         }
         if !leads {
             return;
         }
         inner.leads_from = status.leads_from;
         self.configure(now, &mut inner);
+        inner.grant_permits(now, &self.rollouts);
         inner.remove_lost_gateways(now);
         inner.finish_role_changes(now);
         let services: Vec<ServiceId> = inner.fleets.keys().cloned().collect();
@@ -495,10 +497,23 @@
 
     fn configure(&self, now: Timestamp, inner: &mut Inner) {
         let published = Arc::clone(&self.endpoints.borrow());
-        let routing_index = self.shared.read(|machine| machine.routing().last_changed());
-        if inner.routing_index == Some(routing_index) && Arc::ptr_eq(&inner.published, &published) {
+        let (routing_index, rollouts_index) = self.shared.read(|machine| {
+            let routing_index = machine.routing().last_changed();
+            (routing_index, machine.rollouts().last_changed())
+        });
+        let is_changed = inner.routing_index != Some(routing_index)
+            || inner.rollouts_index != Some(rollouts_index);
+        if !is_changed && Arc::ptr_eq(&inner.published, &published) {
             return;
         }
+        if inner.rollouts_index != Some(rollouts_index) {
+            inner.rollouts = self.shared.read(|machine| {
+                let rollouts = machine.rollouts().iter();
+                let views = rollouts.map(|(service, rollout)| rollout.view(service));
+                views.map(|view| (view.service.clone(), view)).collect()
+            });
+            inner.rollouts_index = Some(rollouts_index);
+        }
         // The first configuration of a new leader, whose predecessor has already charged quotas.
         let is_takeover =
             inner.routing_index.is_none() && routing_index > 0 && routing_index < inner.leads_from;
--- a/crates/mimosa-control/src/routing/dispatch/inner.rs
+++ b/crates/mimosa-control/src/routing/dispatch/inner.rs
@@ -25,6 +25,10 @@
 use mimosa_protocol::Tokens;
 use mimosa_protocol::configuration::EndpointRole;
 use mimosa_protocol::configuration::EndpointState;
+use mimosa_rollout::RolloutNumber;
+use mimosa_rollout::RolloutPhase;
+use mimosa_rollout::RolloutView;
+use mimosa_rollout::exposure::PERMIT_LEASE;
 use mimosa_route::RouteTable;
 use mimosa_route::message::ControlMessage;
 use mimosa_schedule::cold::Pacing;
@@ -45,6 +49,7 @@
 use crate::routing::dispatch::request_index::RequestIndex;
 use crate::routing::metrics::Metrics;
 use crate::routing::published::PublishedList;
+use crate::routing::rollouts::RolloutDriver;
 
 /// Time in which gateways report their running requests to a new leader before it places new ones.
 const TAKEOVER_DELAY: Duration = Duration::from_millis(200);
@@ -83,6 +88,10 @@
     pub(super) role_changes: HashMap<EndpointId, PendingRoleChange>,
     /// The log index of the routing state in `table` and `data_centres_out`.
     pub(super) routing_index: Option<u64>,
+    /// The latest rollout of each service.
+    pub(super) rollouts: HashMap<ServiceId, RolloutView>,
+    /// The log index of the state in `rollouts`.
+    pub(super) rollouts_index: Option<u64>,
 }
 
 /// A role change in progress.
@@ -122,7 +131,7 @@
                     cold_pacing: Pacing::single_sender(service.cold_start.per_kilosecond),
                     max_pause: self.table.event_gap_target(&service.id),
                     endpoints: self.view_endpoints(now, &service.id),
-                    rollout: None,
+                    rollout: self.rollouts.get(&service.id).cloned(),
                 };
                 Some((service.id.clone(), view))
             })
@@ -270,6 +279,39 @@
         }
     }
 
+    /// Supplies the schedulers of services under test with permits for the new version. Those that are
+    /// left return to the account first, so that the account decides about them again.
+    pub(super) fn grant_permits(&mut self, now: Timestamp, driver: &RolloutDriver) {
+        /// Most permits of a scheduler at a time. Their lease and the interval of this call are short.
+        const MAX_PERMITS: u32 = 16;
+        let testing: Vec<(ServiceId, RolloutNumber)> = self
+            .rollouts
+            .values()
+            .filter(|rollout| rollout.phase == RolloutPhase::Testing)
+            .filter(|rollout| self.fleets.contains_key(&rollout.service))
+            .map(|rollout| (rollout.service.clone(), rollout.number))
+            .collect();
+        for (service, number) in testing {
+            let unused = self
+                .fleets
+                .get(&service)
+                .map_or(0, FleetScheduler::unused_permits);
+            for _ in 0..unused {
+                driver.return_permit(&service, number);
+            }
+            let taken =
+                (0..MAX_PERMITS).take_while(|_| driver.take_permit(&service) == Some(number));
+            let permits = u32::try_from(taken.count()).unwrap_or_default();
+            let event = Event::GrantPermits {
+                rollout: number,
+                permits,
+                endpoints: driver.endpoints_in_test(&service),
+                until: now + PERMIT_LEASE,
+            };
+            self.handle(now, &service, event);
+        }
+    }
+
     /// Ends requests that a gateway no longer runs; the report of their end was lost with a
     /// connection.
     pub(super) fn reconcile(&mut self, now: Timestamp, gateway: &InstanceId, numbers: &[u64]) {
--- a/crates/mimosa-rollout/src/trial.rs
+++ b/crates/mimosa-rollout/src/trial.rs
@@ -299,7 +299,8 @@
     }
 
     fn wanted(&self, now: Timestamp, gateway: &InstanceId) -> u64 {
-        if !self.is_granting(now) {
+        // The leader places the requests of models, with its own permits.
+        if !self.is_granting(now) || self.start.is_model {
             return 0;
         }
         let usable = self.schedule.usable(now, &self.account);
