--- a/crates/mimosa-config/src/control.rs
+++ b/crates/mimosa-config/src/control.rs
@@ -72,6 +72,12 @@
     pub quota_overage: Ratio,
     /// Additional tokens by which the usage may exceed the quotas.
     pub quota_slack: Tokens,
+    /// Part of a service's requests that a version under test may get in a rollout, at most 1.
+    pub exposure_share: Ratio,
+    /// Requests that it may get beyond that part.
+    pub exposure_slack: u64,
+    /// Time within which requests to a bad version must end.
+    pub rollback_time: Duration,
 }
 
 impl ControlRouting {
@@ -93,7 +99,26 @@
             order_lease: reader.duration("order_lease", default.order_lease, faults),
             quota_overage: reader.or("quota_overage", default.quota_overage, faults),
             quota_slack: reader.or("quota_slack", default.quota_slack, faults),
+            exposure_share: reader.or("exposure_share", default.exposure_share, faults),
+            exposure_slack: reader.or("exposure_slack", default.exposure_slack, faults),
+            rollback_time: reader.duration("rollback_time", default.rollback_time, faults),
         };
+        if settings.exposure_share.0 > 1_000 {
+            let help = "a share is at most 1";
+            faults.add(
+                reader.span("exposure_share"),
+                "'exposure_share' is above 1",
+                help,
+            );
+        }
+        if settings.rollback_time.is_zero() {
+            let help = "5s is the default";
+            faults.add(
+                reader.span("rollback_time"),
+                "'rollback_time' is zero",
+                help,
+            );
+        }
         if settings.seeds.is_empty() {
             let help = "list the addresses of some control instances";
             faults.add(reader.span("seeds"), "no seeds are configured", help);
@@ -121,6 +146,9 @@
             order_lease: Duration::from_secs(3),
             quota_overage: Ratio(0),
             quota_slack: Tokens(0),
+            exposure_share: Ratio(100),
+            exposure_slack: 50,
+            rollback_time: Duration::from_secs(5),
         }
     }
 }
--- a/crates/mimosa-control/src/routing.rs
+++ b/crates/mimosa-control/src/routing.rs
@@ -11,6 +11,8 @@
 use mimosa_protocol::DataCentreId;
 use mimosa_protocol::FencingToken;
 use mimosa_protocol::InstanceId;
+use mimosa_protocol::ServiceId;
+use mimosa_protocol::ServiceVersion;
 use mimosa_protocol::configuration::EndpointRole;
 use mimosa_route::DocumentFormat;
 use mimosa_route::DocumentVersion;
@@ -18,6 +20,11 @@
 use mimosa_route::ListedEndpoint;
 use mimosa_state::CommandResult;
 use mimosa_state::Operation;
+use mimosa_state::StateMachine;
+use mimosa_state::rollouts::MAX_DURATION;
+use mimosa_state::rollouts::Rollout;
+use mimosa_state::rollouts::RolloutOrdered;
+use mimosa_state::rollouts::RolloutRefusal;
 use mimosa_state::routing::AdoptedDocument;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -140,6 +147,15 @@
     /// A later order precedes this one in the log; nothing changed.
     #[error("a later order for the data centre was confirmed first, so this one changed nothing")]
     Superseded,
+    /// The adopted routing document has no such service.
+    #[error("there is no service '{0}'")]
+    UnknownService(ServiceId),
+    /// Another rollout of the service is running.
+    #[error("{0}")]
+    RolloutRefused(RolloutRefusal),
+    /// The duration of a rollout is out of range.
+    #[error("a rollout takes more than 0 s and at most {} s", MAX_DURATION.as_secs())]
+    BadDuration,
     /// This instance cannot prove that its state is current.
     #[error("this control instance cannot prove that it is current")]
     NotCurrent,
@@ -207,6 +223,83 @@
         }
     }
 
+    /// Starts a rollout of a service, or acknowledges the repetition of its order.
+    ///
+    /// # Errors
+    ///
+    /// If the duration is out of range, the service is unknown, another rollout of it is running, or no
+    /// quorum confirmed the order.
+    pub async fn start_rollout(
+        &self,
+        service: ServiceId,
+        to: ServiceVersion,
+        duration: Duration,
+    ) -> Result<RolloutOrdered, OrderError> {
+        if duration.is_zero() || duration > MAX_DURATION {
+            return Err(OrderError::BadDuration);
+        }
+        self.receipt_index().await?;
+        if !self.is_known(&service)? {
+            return Err(OrderError::UnknownService(service));
+        }
+        let operation = Operation::StartRollout {
+            service: service.clone(),
+            to: to.clone(),
+            duration,
+        };
+        let result = self.replicator.propose(operation).await;
+        let ordered = match result {
+            Ok(CommandResult::RolloutStarted(ordered)) => {
+                ordered.map_err(OrderError::RolloutRefused)
+            }
+            Ok(other) => {
+                warn!("unexpected result of an order for a rollout: {other:?}");
+                Err(ProposeError::OutcomeUnknown.into())
+            }
+            Err(e) => Err(e.into()),
+        };
+        let duration_ms = duration.as_millis();
+        match &ordered {
+            Ok(ordered) => info!(
+                "order=rollout service={service} to={to} duration_ms={duration_ms} \
+                 outcome=confirmed rollout={} started={}",
+                ordered.number, ordered.started
+            ),
+            Err(e) => info!(
+                "order=rollout service={service} to={to} duration_ms={duration_ms} outcome=\"{e}\""
+            ),
+        }
+        ordered
+    }
+
+    /// The latest rollout of a service; `None` if it never had one.
+    ///
+    /// # Errors
+    ///
+    /// If this instance cannot prove that it is current.
+    pub async fn rollout(&self, service: &ServiceId) -> Result<Option<Rollout>, OrderError> {
+        let barrier = self.replicator.read_barrier().await;
+        barrier.map_err(|_| OrderError::NotCurrent)?;
+        let rollout = |machine: &StateMachine| machine.rollouts().get(service).cloned();
+        Ok(self.shared.read(rollout))
+    }
+
+    /// Whether the adopted document has a service.
+    fn is_known(&self, service: &ServiceId) -> Result<bool, OrderError> {
+        let document = self.shared.read(|machine| {
+            let document = machine.routing().document();
+            document.map(|document| Arc::clone(&document.bytes))
+        });
+        let Some(document) = document else {
+            return Ok(false);
+        };
+        let cfg = self.format.read(&document).map_err(|e| {
+            warn!("cannot read the adopted document: {e}");
+            OrderError::NotCurrent
+        })?;
+        Ok(cfg.services.iter().any(|known| known.id == *service))
+    }
+
     /// The bytes of the document in force; `None` before the first one.
     ///
     /// # Errors
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -13,6 +13,8 @@
 use mimosa_gateway::settings::RetryLimits;
 use mimosa_limit::quota::Tolerance;
 use mimosa_protocol::InstanceId;
+use mimosa_rollout::exposure::ExposureSettings;
+use mimosa_rollout::exposure::PERMIT_LEASE;
 
 /// A voter that is silent for this long is replaced by another control instance: longer than an
 /// election, and short enough that the replacement is complete before the next failure is expected.
@@ -56,6 +58,7 @@
             remove_learner_after: REMOVE_LEARNER_AFTER,
         }),
         quota_tolerance: quota_tolerance(&routing),
+        exposure: exposure(&routing),
         election_timeout: if has_seeds {
             routing.election_timeout
         } else {
@@ -114,6 +117,16 @@
     }
 }
 
+/// A permit is used, reported and noticed as expired within a quarter of the rollback time, which
+/// leaves the rest for the decision.
+fn exposure(routing: &ControlRouting) -> ExposureSettings {
+    ExposureSettings {
+        share: routing.exposure_share.0 as f64 / 1_000.0,
+        slack: routing.exposure_slack,
+        lease: PERMIT_LEASE.min(routing.rollback_time / 4),
+    }
+}
+
 /// Ids of instances that are named after their IP addresses. Addresses that are no valid id are
 /// skipped.
 fn instance_ids(addresses: &[IpAddr]) -> impl Iterator<Item = InstanceId> {
