--- a/crates/mimosa-control/src/routing/rollouts/elapsed.rs
+++ b/crates/mimosa-control/src/routing/rollouts/elapsed.rs
@@ -44,12 +44,17 @@
     }
 
     /// The age of a rollout that is seen for the first time. After a start of the process the log may
-    /// have stood still, so that only the wall clock tells it.
+    /// have stood still, so that only the wall clock tells it. Otherwise the order was stored a moment
+    /// ago, or its commit was learned only after the loss of the leader.
     fn age(&self, log_time: Timestamp, wall: Timestamp, rollout: &Rollout) -> Duration {
+        /// Longest time for which an order is not acknowledged, which limits the effect of a wall clock
+        /// that is wrong.
+        const MAX_COMMIT_TIME: Duration = Duration::from_secs(5);
         let in_log = log_time.since(rollout.started);
-        match self.has_observed {
-            true => in_log,
-            false => in_log.max(wall.since(rollout.started)),
-        }
+        let by_clock = wall.since(rollout.started);
+        in_log.max(match self.has_observed {
+            true => by_clock.min(MAX_COMMIT_TIME),
+            false => by_clock,
+        })
     }
 }
