--- a/crates/mimosa-control/src/routing/rollouts.rs
+++ b/crates/mimosa-control/src/routing/rollouts.rs
@@ -155,7 +155,7 @@
     fn poll(&self) -> Vec<(ServiceId, RolloutNumber, Proposal)> {
         let now = self.now();
         let status = self.replicator.status();
-        let (logged, log_time, applied) = self.shared.read(|machine| {
+        let (logged, log_time) = self.shared.read(|machine| {
             let running = machine.rollouts().iter();
             let running = running.filter(|(_, rollout)| rollout.phase.is_running());
             let logged: Vec<LoggedRollout> = running
@@ -164,7 +164,7 @@
                     rollout: rollout.clone(),
                 })
                 .collect();
-            (logged, machine.now(), machine.applied())
+            (logged, machine.now())
         });
         let mut inner = self.lock();
         inner.elapsed.observe(
@@ -173,9 +173,11 @@
             clock::now(),
             logged.iter().map(|logged| &logged.rollout),
         );
-        // A new leader has not applied all entries of its predecessors until its first own one.
-        let leads =
-            status.role == "leader" && status.leads_from > 0 && applied >= status.leads_from;
+        // A new leader has applied all entries of its predecessors once its first own one is committed:
+        // the status is published after the entries that it counts are applied.
+        let leads = status.role == "leader"
+            && status.leads_from > 0
+            && status.committed >= status.leads_from;
         if !leads {
             // A trial is kept for its whole term: gateways count permits by term, so a second account
             // of one term would take the counters of the first for its own.
--- a/crates/mimosa-rollout/src/trial.rs
+++ b/crates/mimosa-rollout/src/trial.rs
@@ -333,18 +333,20 @@
             }
             RolloutPhase::Moving => {
                 let suspicion = self.comparison.suspicion();
+                let loaded = self.moving_since.map(|since| now.since(since));
+                let loaded = loaded.unwrap_or_default();
+                let is_successor = self.start.phase == RolloutPhase::Moving;
+                // A successor knows nothing of the version under full load before its first reports, and
+                // rather ends late than completes a bad version.
+                if is_successor && loaded < MIN_TAKEOVER_LOAD {
+                    return None;
+                }
                 if is_last_moment && suspicion > MAX_SUSPICION {
                     let reason = format!("inconclusive_move suspicion={suspicion:.2}");
                     return Some((RolloutPhase::RolledBack, reason));
                 }
-                let loaded = self.moving_since.map(|since| now.since(since));
-                let min_load = match self.start.phase == RolloutPhase::Moving {
-                    true => MIN_TAKEOVER_LOAD,
-                    false => MIN_FULL_LOAD,
-                };
-                let is_drained = loaded.is_some_and(|loaded| loaded >= min_load)
-                    && suspicion <= MAX_SUSPICION
-                    && self.is_drained(now);
+                let is_drained =
+                    loaded >= MIN_FULL_LOAD && suspicion <= MAX_SUSPICION && self.is_drained(now);
                 (is_drained || is_last_moment).then(|| {
                     let reason = if is_drained { "drained" } else { "end_reached" };
                     (RolloutPhase::Completed, reason.to_owned())
