--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -75,17 +75,33 @@
     inner: Mutex<Inner>,
 }
 
+/// What a dispatcher reads and calls.
+pub struct Components {
+    /// The replicated log, whose status tells whether this instance leads.
+    pub replicator: Arc<dyn Replicator>,
+    /// The applied state.
+    pub shared: Arc<SharedState>,
+    /// Parses routing documents.
+    pub format: Arc<dyn DocumentFormat>,
+    /// The latest endpoint list that this instance read as leader.
+    pub endpoints: watch::Receiver<Arc<PublishedList>>,
+    /// Handles the reports about rollouts.
+    pub rollouts: Arc<RolloutDriver>,
+    /// Metrics of this instance.
+    pub metrics: Metrics,
+}
+
 impl Dispatcher {
     /// Creates a dispatcher that does not lead yet.
-    pub fn new(
-        replicator: Arc<dyn Replicator>,
-        shared: Arc<SharedState>,
-        format: Arc<dyn DocumentFormat>,
-        endpoints: watch::Receiver<Arc<PublishedList>>,
-        rollouts: Arc<RolloutDriver>,
-        tolerance: Tolerance,
-        metrics: Metrics,
-    ) -> Self {
+    pub fn new(components: Components, tolerance: Tolerance) -> Self {
+        let Components {
+            replicator,
+            shared,
+            format,
+            endpoints,
+            rollouts,
+            metrics,
+        } = components;
         Self {
             replicator,
             shared,
--- a/crates/mimosa-control/src/routing/rollouts.rs
+++ b/crates/mimosa-control/src/routing/rollouts.rs
@@ -196,11 +196,12 @@
             .trials
             .retain(|service, trial| is_running(service, trial));
         let mut proposals = Vec::new();
-        for LoggedRollout { service, rollout } in &logged {
+        for each in &logged {
+            let LoggedRollout { service, rollout } = each;
             let listed = self.listed_versions(service, &rollout.to);
             let elapsed = inner.elapsed.of(now, rollout.number);
             let trial = inner.trials.entry(service.clone()).or_insert_with(|| {
-                self.start_trial(now, service, rollout, elapsed, status.term, &listed)
+                self.start_trial(now, each, elapsed, status.term, listed.is_model)
             });
             trial.set_endpoints(listed.counts);
             trial.observe(now, rollout.phase, rollout.reserved);
@@ -218,12 +219,12 @@
     fn start_trial(
         &self,
         now: Timestamp,
-        service: &ServiceId,
-        rollout: &Rollout,
+        logged: &LoggedRollout,
         elapsed: Duration,
         term: u64,
-        listed: &ListedVersions,
+        is_model: bool,
     ) -> Trial {
+        let LoggedRollout { service, rollout } = logged;
         info!(
             "service={service} rollout={} to={} phase={} elapsed_ms={} duration_ms={} reserved={} \
              term={term} trial=started",
@@ -246,7 +247,7 @@
                 reserved: rollout.reserved,
                 // Without a reservation no leader has granted a permit.
                 is_successor: rollout.reserved > 0,
-                is_model: listed.is_model,
+                is_model,
                 exposure: self.exposure,
             },
         )
--- a/crates/mimosa-control/src/server.rs
+++ b/crates/mimosa-control/src/server.rs
@@ -43,6 +43,7 @@
 use crate::routing::Integration;
 use crate::routing::RoutingOrders;
 use crate::routing::balancer::Balancer;
+use crate::routing::dispatch::Components;
 use crate::routing::dispatch::Dispatcher;
 use crate::routing::gateway_port::GatewayPort;
 use crate::routing::listing;
@@ -336,15 +337,15 @@
             self.metrics.clone(),
         ));
         self.tasks.spawn(Arc::clone(&rollouts).run());
-        let dispatcher = Arc::new(Dispatcher::new(
-            Arc::clone(replicator),
-            Arc::clone(&self.shared),
-            Arc::clone(&integration.format),
-            endpoints.clone(),
+        let components = Components {
+            replicator: Arc::clone(replicator),
+            shared: Arc::clone(&self.shared),
+            format: Arc::clone(&integration.format),
+            endpoints: endpoints.clone(),
             rollouts,
-            self.settings.quota_tolerance,
-            self.metrics.clone(),
-        ));
+            metrics: self.metrics.clone(),
+        };
+        let dispatcher = Arc::new(Dispatcher::new(components, self.settings.quota_tolerance));
         self.dispatcher = Some(Arc::clone(&dispatcher));
         self.tasks.spawn(Arc::clone(&dispatcher).run());
         let balancer = Balancer {
--- a/crates/mimosa-control/tests/rollouts.rs
+++ b/crates/mimosa-control/tests/rollouts.rs
@@ -56,12 +56,15 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_version_that_is_bad_immediately_is_rolled_back() {
-    assert_rolled_back(|_, _, number| number % 3 == 0).await;
+    assert_rolled_back(|_, _, number| number.is_multiple_of(3)).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_version_that_is_bad_later_is_rolled_back() {
-    assert_rolled_back(|since, _, number| since > Duration::from_secs(6) && number % 2 == 0).await;
+    assert_rolled_back(|since, _, number| {
+        since > Duration::from_secs(6) && number.is_multiple_of(2)
+    })
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -82,7 +85,7 @@
 /// Permits of the killed leader count, although it no longer reports their use.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_bad_version_stays_within_its_exposure_if_the_leader_is_killed_after_a_grant() {
-    let mut cluster = Cluster::start(|_, _, number| number % 3 == 0).await;
+    let mut cluster = Cluster::start(|_, _, number| number.is_multiple_of(3)).await;
     cluster.order(DURATION).await;
     while cluster.rollout().await.reserved == 0 {
         sleep(Duration::from_millis(20)).await;
@@ -97,7 +100,7 @@
 /// A decision in the log must hold for the successor, also if the order arrives again.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_rollback_stays_if_the_leader_is_killed_right_after_it() {
-    let mut cluster = Cluster::start(|_, _, number| number % 2 == 0).await;
+    let mut cluster = Cluster::start(|_, _, number| number.is_multiple_of(2)).await;
     cluster.order(DURATION).await;
     let decided = cluster.wait_for_phase(has_ended).await;
     cluster.kill_leader().await;
@@ -124,9 +127,10 @@
 /// A version may be bad only under the load of the move, of which the successor knows nothing yet.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_version_that_is_bad_in_the_move_is_rolled_back_if_the_leader_is_killed() {
-    let mut cluster =
-        Cluster::start(|since, _, number| since > Duration::from_millis(10_900) && number % 2 == 0)
-            .await;
+    let mut cluster = Cluster::start(|since, _, number| {
+        since > Duration::from_millis(10_900) && number.is_multiple_of(2)
+    })
+    .await;
     cluster.order(DURATION).await;
     cluster
         .wait_for_phase(|phase| phase == RolloutPhase::Moving || has_ended(phase))
--- a/crates/mimosa-control/tests/rollouts/harness.rs
+++ b/crates/mimosa-control/tests/rollouts/harness.rs
@@ -488,7 +488,7 @@
             RolloutPhase::Moving | RolloutPhase::Completed => true,
             RolloutPhase::RolledBack => false,
         };
-        let route = usize::from(number % 2 == 0);
+        let route = usize::from(number.is_multiple_of(2));
         let fails = is_new && (self.is_bad)(since.elapsed(), route, number);
         if is_new {
             observed.new_requests.fetch_add(1, Ordering::Relaxed);
