Commands that start, show and cancel rollouts

Cause: operators without the platform's call need rollouts as well, and a way to roll one back by hand. Change: the intents start_rollout and cancel_rollout go through plan and confirm, instances for gateways serve the admin routes if operators are configured, and the command rollout uses them; a move waits for the endpoint list, which names the versions that it replaces.

--- a/crates/mimosa-control/src/admin.rs
+++ b/crates/mimosa-control/src/admin.rs
@@ -134,21 +134,30 @@
 impl Admin {
     /// The routes, with authentication and a limit of 256 KiB on request bodies.
     pub fn router(self) -> Router {
-        let authenticated = Router::new()
+        let operators = self.clone().operator_routes();
+        Router::new()
+            .route("/healthz", get(reads::healthz))
+            .route("/readyz", get(reads::readyz))
+            .fallback(problem::not_found)
+            .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
+            .with_state(self)
+            .merge(operators)
+    }
+
+    /// The routes for operators only, which an instance for gateways serves beside those of its
+    /// platform.
+    pub fn operator_routes(self) -> Router {
+        Router::new()
             .route("/v1/plans", get(reads::plans).post(orders::plan))
             .route("/v1/plans/{id}/confirm", post(orders::confirm))
             .route("/v1/configuration", get(reads::configuration))
             .route("/v1/status", get(reads::status))
             .route("/v1/audit", get(reads::audit))
+            .route("/v1/rollouts", get(reads::rollouts))
             .layer(middleware::from_fn_with_state(
                 self.clone(),
                 auth::authenticate,
-            ));
-        Router::new()
-            .route("/healthz", get(reads::healthz))
-            .route("/readyz", get(reads::readyz))
-            .merge(authenticated)
-            .fallback(problem::not_found)
+            ))
             .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
             .with_state(self)
     }
--- a/crates/mimosa-control/src/admin/problem.rs
+++ b/crates/mimosa-control/src/admin/problem.rs
@@ -51,6 +51,7 @@
             | Refusal::UnknownService(_)
             | Refusal::UnknownDataCentre(_)
             | Refusal::UnknownEndpoint(_)
+            | Refusal::NoRollout(_)
             | Refusal::UnknownPlan(_) => StatusCode::NOT_FOUND,
             Refusal::BadValue { .. } | Refusal::RoleMismatch { .. } => {
                 StatusCode::UNPROCESSABLE_ENTITY
--- a/crates/mimosa-control/src/admin/reads.rs
+++ b/crates/mimosa-control/src/admin/reads.rs
@@ -13,6 +13,7 @@
 use crate::admin::problem::Problem;
 use crate::admin::view::ConfigurationView;
 use crate::admin::view::PlanView;
+use crate::admin::view::RolloutStatusView;
 use crate::admin::view::StatusView;
 use crate::clock;
 
@@ -97,6 +98,22 @@
     Ok(Json(view))
 }
 
+/// Lists the latest rollout of each service.
+///
+/// # Errors
+///
+/// A [`Problem`] if this instance cannot prove that it is current.
+pub async fn rollouts(State(admin): State<Admin>) -> Result<Json<Vec<RolloutStatusView>>, Problem> {
+    admin.replicator.read_barrier().await?;
+    let views = admin.shared.read(|machine| {
+        let rollouts = machine.rollouts().iter();
+        rollouts
+            .map(|(service, rollout)| RolloutStatusView::new(service, rollout))
+            .collect()
+    });
+    Ok(Json(views))
+}
+
 /// Returns the status. An instance that cannot prove that it is current answers too, with `current`
 /// false.
 pub async fn status(State(admin): State<Admin>) -> Json<StatusView> {
--- a/crates/mimosa-control/src/admin/view.rs
+++ b/crates/mimosa-control/src/admin/view.rs
@@ -12,10 +12,14 @@
 use mimosa_protocol::OperatorId;
 use mimosa_protocol::OrderNumber;
 use mimosa_protocol::Revision;
+use mimosa_protocol::ServiceId;
+use mimosa_protocol::ServiceVersion;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::configuration::DataCentre;
 use mimosa_protocol::configuration::EndpointState;
 use mimosa_protocol::secret::Secret;
+use mimosa_rollout::RolloutNumber;
+use mimosa_rollout::RolloutPhase;
 use mimosa_state::Intent;
 use mimosa_state::Plan;
 use mimosa_state::PlanId;
@@ -28,6 +32,7 @@
 use mimosa_state::plan::ChangeLine;
 use mimosa_state::plan::Confirmation;
 use mimosa_state::plan::Undo;
+use mimosa_state::rollouts::Rollout;
 use serde::Serialize;
 
 use crate::admin::Admin;
@@ -50,6 +55,40 @@
     secret: Option<String>,
 }
 
+/// The latest rollout of a service, as JSON.
+#[derive(Debug, Serialize)]
+pub struct RolloutStatusView {
+    service: ServiceId,
+    rollout: RolloutNumber,
+    to: ServiceVersion,
+    from: Vec<ServiceVersion>,
+    phase: RolloutPhase,
+    reason: String,
+    started: Timestamp,
+    changed: Timestamp,
+    duration_ms: u64,
+    /// Requests to the new version for which permits may have been granted.
+    reserved: u64,
+}
+
+impl RolloutStatusView {
+    /// The view of a rollout of `service`.
+    pub fn new(service: &ServiceId, rollout: &Rollout) -> Self {
+        Self {
+            service: service.clone(),
+            rollout: rollout.number,
+            to: rollout.to.clone(),
+            from: rollout.from.clone(),
+            phase: rollout.phase,
+            reason: rollout.reason.clone(),
+            started: rollout.started,
+            changed: rollout.changed,
+            duration_ms: u64::try_from(rollout.duration.as_millis()).unwrap_or(u64::MAX),
+            reserved: rollout.reserved,
+        }
+    }
+}
+
 /// A confirmed plan and where its revision is in force.
 #[derive(Debug, Serialize)]
 pub struct ConfirmView {
--- a/crates/mimosa-control/src/server.rs
+++ b/crates/mimosa-control/src/server.rs
@@ -368,11 +368,15 @@
             connections: Arc::default(),
         };
         self.tasks.spawn(port.serve(listener));
-        integration.operators.router(RoutingOrders {
+        let router = integration.operators.router(RoutingOrders {
             format: integration.format,
             replicator: Arc::clone(replicator),
             shared: Arc::clone(&self.shared),
-        })
+        });
+        match self.settings.operators.is_empty() {
+            true => router,
+            false => router.merge(self.admin(replicator).operator_routes()),
+        }
     }
 
     fn admin(&self, replicator: &Arc<dyn Replicator>) -> Admin {
--- a/crates/mimosa-control/tests/rollouts.rs
+++ b/crates/mimosa-control/tests/rollouts.rs
@@ -2,16 +2,20 @@
 
 #[path = "rollouts/harness.rs"]
 mod harness;
+#[path = "support.rs"]
+mod support;
 
 use std::time::Duration;
 
 use mimosa_rollout::RolloutPhase;
 use mimosa_state::rollouts::Rollout;
+use serde_json::json;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
 use self::harness::Cluster;
 use self::harness::IsBad;
+use self::harness::OPERATOR_KEY;
 use self::harness::shop;
 
 const DURATION: Duration = Duration::from_secs(12);
@@ -140,6 +144,30 @@
     assert_eq!(rollout.phase, RolloutPhase::RolledBack, "{rollout:?}");
 }
 
+/// Instances for gateways serve the project's own commands beside the platform's calls, to operators
+/// with a key only.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn commands_start_show_and_cancel_a_rollout_through_plan_and_confirm() {
+    let cluster = Cluster::start(GOOD).await;
+    let admin = cluster.any_admin();
+    let nothing = serde_json::Value::Null;
+    let (status, _) = support::call(admin, "mso-other", "GET /v1/rollouts", &nothing).await;
+    assert_eq!(status, 401);
+    let start = json!({"start_rollout": {"service": "shop", "to": "v2", "duration_ms": 60_000}});
+    let cancel = json!({"cancel_rollout": {"service": "shop"}});
+    for (number, intent, phase) in [(1, start, "testing"), (3, cancel, "rolled_back")] {
+        let body = json!({"number": number, "intent": intent});
+        let (status, plan) = support::call(admin, OPERATOR_KEY, "POST /v1/plans", &body).await;
+        assert_eq!(status, 200, "{plan}");
+        let line = format!("POST /v1/plans/{}/confirm", plan["plan"]);
+        let body = json!({"number": number + 1});
+        let (status, answer) = support::call(admin, OPERATOR_KEY, &line, &body).await;
+        assert_eq!(status, 200, "{answer}");
+        let (_, list) = support::call(admin, OPERATOR_KEY, "GET /v1/rollouts", &nothing).await;
+        assert_eq!(list[0]["phase"], phase, "{list}");
+    }
+}
+
 /// A document names the services that can be moved.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_unknown_service_is_rejected() {
--- a/crates/mimosa-control/tests/rollouts/harness.rs
+++ b/crates/mimosa-control/tests/rollouts/harness.rs
@@ -32,6 +32,7 @@
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::configuration::EndpointRole;
 use mimosa_protocol::configuration::EndpointState;
+use mimosa_protocol::secret::Secret;
 use mimosa_rollout::OutcomeCounts;
 use mimosa_rollout::RolloutPhase;
 use mimosa_rollout::RolloutView;
@@ -55,6 +56,8 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+/// Key of the operator.
+pub const OPERATOR_KEY: &str = "mso-ada";
 const GATEWAYS: u32 = 10;
 /// Requests of each gateway: one per interval.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
@@ -211,6 +214,10 @@
                 peer_listen: SocketAddr::new(ip, port),
                 election_timeout: Duration::from_millis(500),
                 heartbeat: Duration::from_millis(500),
+                operators: BTreeMap::from([(
+                    "ada".parse().unwrap(),
+                    Secret::new(OPERATOR_KEY).digest(),
+                )]),
                 ..Settings::default()
             };
             let (tx, mut captured) = mpsc::unbounded_channel();
@@ -260,6 +267,11 @@
         cluster
     }
 
+    /// Address of an instance's operator API.
+    pub fn any_admin(&self) -> SocketAddr {
+        self.instances.values().next().unwrap().0.admin_address()
+    }
+
     pub fn any_orders(&self) -> RoutingOrders {
         self.instances.values().next().unwrap().1.clone()
     }
--- a/crates/mimosa-rollout/src/trial.rs
+++ b/crates/mimosa-rollout/src/trial.rs
@@ -318,7 +318,10 @@
             RolloutPhase::Testing => {
                 let responses = self.comparison.new_counts().total();
                 let suspicion = self.comparison.suspicion();
-                let is_sound = responses >= MIN_RESPONSES && suspicion <= MAX_SUSPICION;
+                // Without a list of the endpoints, the versions to replace are unknown as well.
+                let is_sound = responses >= MIN_RESPONSES
+                    && suspicion <= MAX_SUSPICION
+                    && self.endpoints.new > 0;
                 if is_last_moment {
                     let reason = match responses < MIN_RESPONSES {
                         true => format!("too_few_responses new={responses}"),
--- a/crates/mimosa-state/src/intent.rs
+++ b/crates/mimosa-state/src/intent.rs
@@ -11,6 +11,7 @@
 use mimosa_protocol::KeyId;
 use mimosa_protocol::KvBlocks;
 use mimosa_protocol::ServiceId;
+use mimosa_protocol::ServiceVersion;
 use mimosa_protocol::TokenRate;
 use mimosa_protocol::Tokens;
 use mimosa_protocol::configuration::EndpointRole;
@@ -55,6 +56,10 @@
         SetRole(RoleSpec),
         /// Orders an engine to load a model.
         LoadModel(ModelSpec),
+        /// Moves a service that gateways serve to another version.
+        StartRollout(RolloutSpec),
+        /// Rolls back the running rollout of a service.
+        CancelRollout(ByService),
     }
 
     /// Identifies a client account.
@@ -229,6 +234,17 @@
         /// The version of the model in the weight store: 1 to 128 printable ASCII characters.
         pub version: String,
     }
+
+    /// A move of a service to another version.
+    #[serde(deny_unknown_fields)]
+    pub struct RolloutSpec {
+        /// Name of a service of the adopted routing document.
+        pub service: ServiceId,
+        /// The new version.
+        pub to: ServiceVersion,
+        /// Time from the confirm to the end, in milliseconds: 1 to 86,400,000.
+        pub duration_ms: u64,
+    }
 }
 
 impl Intent {
@@ -251,6 +267,8 @@
             Self::RemoveEndpoint(_) => "remove_endpoint",
             Self::SetRole(_) => "set_role",
             Self::LoadModel(_) => "load_model",
+            Self::StartRollout(_) => "start_rollout",
+            Self::CancelRollout(_) => "cancel_rollout",
         }
     }
 }
--- a/crates/mimosa-state/src/machine.rs
+++ b/crates/mimosa-state/src/machine.rs
@@ -285,6 +285,7 @@
         intent: Intent,
         unreachable: Vec<InstanceId>,
     ) -> Result<Plan, Refusal> {
+        let rollout_line = self.plan_rollout(&intent)?;
         let before = &self.configuration;
         let effects = planning::effects(self.now, before, &intent)?;
         let after = planning::check_capacity(before, &effects.changes)?;
@@ -295,6 +296,7 @@
             .iter()
             .map(|change| describe::change(before, change))
             .chain(effects.engine_orders.iter().map(describe::engine_order))
+            .chain(rollout_line)
             .collect();
         self.last_plan = PlanId(self.last_plan.0 + 1);
         Ok(Plan {
@@ -355,6 +357,8 @@
         if planned != current {
             return Err(Refusal::RevisionMoved { planned, current });
         }
+        let intent = plan.intent.clone();
+        self.confirm_rollout(&intent)?;
         let plan = self
             .plans
             .remove(&id)
--- a/crates/mimosa-state/src/planning.rs
+++ b/crates/mimosa-state/src/planning.rs
@@ -75,6 +75,8 @@
         }
         Intent::SetRole(spec) => endpoint::set_role(current, spec),
         Intent::LoadModel(spec) => endpoint::load_model(current, spec),
+        // Rollouts are no part of the configuration; the state machine checks them.
+        Intent::StartRollout(_) | Intent::CancelRollout(_) => Ok(Effects::default()),
     }
 }
 
--- a/crates/mimosa-state/src/refusal.rs
+++ b/crates/mimosa-state/src/refusal.rs
@@ -7,6 +7,7 @@
 use mimosa_protocol::OrderNumber;
 use mimosa_protocol::Revision;
 use mimosa_protocol::ServiceId;
+use mimosa_protocol::ServiceVersion;
 use mimosa_protocol::configuration::EndpointRole;
 use mimosa_protocol::data;
 use thiserror::Error;
@@ -106,6 +107,17 @@
             /// The highest evicted number.
             floor: OrderNumber,
         },
+        /// A rollout of the service is running.
+        #[error("a rollout of service '{service}' to version '{to}' is running; cancel it first")]
+        RolloutRunning {
+            /// The service.
+            service: ServiceId,
+            /// The version that it moves to.
+            to: ServiceVersion,
+        },
+        /// No rollout of the service is running.
+        #[error("no rollout of service '{0}' is running")]
+        NoRollout(ServiceId),
     }
 }
 
@@ -133,6 +145,8 @@
             Self::RevisionMoved { .. } => "revision_moved",
             Self::OrderConflict(_) => "order_conflict",
             Self::OrderTooOld { .. } => "order_too_old",
+            Self::RolloutRunning { .. } => "rollout_running",
+            Self::NoRollout(_) => "no_rollout",
         }
     }
 
--- a/crates/mimosa-state/src/undo.rs
+++ b/crates/mimosa-state/src/undo.rs
@@ -71,6 +71,10 @@
             })),
             None => not_undoable("the endpoint is unknown"),
         },
+        Intent::StartRollout(spec) => by_intent(Intent::CancelRollout(ByService {
+            service: spec.service.clone(),
+        })),
+        Intent::CancelRollout(_) => not_undoable("start_rollout starts another one"),
         Intent::LoadModel(_) => not_undoable("load_model loads the earlier version again"),
     }
 }
--- a/crates/mimosa-state/tests/rollouts.rs
+++ b/crates/mimosa-state/tests/rollouts.rs
@@ -4,18 +4,30 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use mimosa_protocol::OrderNumber;
 use mimosa_protocol::Timestamp;
 use mimosa_rollout::RolloutNumber;
 use mimosa_rollout::RolloutPhase;
+use mimosa_route::DocumentVersion;
 use mimosa_state::Command;
 use mimosa_state::CommandResult;
+use mimosa_state::Intent;
 use mimosa_state::Operation;
+use mimosa_state::Plan;
+use mimosa_state::PlanId;
+use mimosa_state::Refusal;
 use mimosa_state::StateMachine;
 use mimosa_state::audit::AuditResult;
+use mimosa_state::command::confirm_digest;
+use mimosa_state::command::plan_digest;
+use mimosa_state::orders::OrderId;
+use mimosa_state::plan::Confirmation;
 use mimosa_state::rollouts::PhaseChange;
 use mimosa_state::rollouts::Rollout;
 use mimosa_state::rollouts::RolloutOrdered;
 use mimosa_state::rollouts::RolloutRefusal;
+use mimosa_state::routing::AdoptedDocument;
+use serde_json::json;
 
 /// Written by the version before rollouts: a routing document, two data centres taken out, a no-op.
 const EARLIER_LOG: [&str; 4] = [
@@ -248,3 +260,90 @@
     let earlier = &encoded[..encoded.len() - 2];
     expect_that!(StateMachine::decode(earlier), ok(eq(&machine)));
 }
+
+fn order(number: u64, content: mimosa_protocol::hash::Sha256Digest) -> OrderId {
+    OrderId {
+        operator: "ada".parse().unwrap(),
+        number: OrderNumber(number),
+        content,
+    }
+}
+
+impl Log {
+    fn plan(
+        &mut self,
+        number: u64,
+        intent: serde_json::Value,
+    ) -> std::result::Result<Box<Plan>, Refusal> {
+        let intent: Intent = serde_json::from_value(intent).unwrap();
+        let operation = Operation::Plan {
+            order: order(number, plan_digest(&intent)),
+            intent,
+            unreachable: Vec::new(),
+        };
+        match self.apply(1, operation) {
+            CommandResult::Planned(plan) => plan,
+            other => panic!("unexpected result {other:?}"),
+        }
+    }
+
+    fn confirm(&mut self, number: u64, plan: PlanId) -> std::result::Result<Confirmation, Refusal> {
+        let order = order(number, confirm_digest(plan));
+        match self.apply(1, Operation::Confirm { order, plan }) {
+            CommandResult::Confirmed(confirmation) => confirmation,
+            other => panic!("unexpected result {other:?}"),
+        }
+    }
+}
+
+fn start_intent(to: &str, duration_ms: u64) -> serde_json::Value {
+    json!({"start_rollout": {"service": "shop", "to": to, "duration_ms": duration_ms}})
+}
+
+/// The project's own commands change nothing before the confirm, and follow the same rules.
+#[googletest::test]
+fn planned_rollouts_start_and_are_cancelled_at_their_confirm() {
+    let mut log = Log::default();
+    let cancel = json!({"cancel_rollout": {"service": "shop"}});
+    let code = |result: std::result::Result<Box<Plan>, Refusal>| result.unwrap_err().code();
+    expect_that!(
+        code(log.plan(1, start_intent("v2", 12_000))),
+        eq("unknown_service")
+    );
+    let document = AdoptedDocument {
+        version: DocumentVersion(1),
+        bytes: b"document"[..].into(),
+    };
+    log.apply(1, Operation::AdoptRouting(document));
+    expect_that!(code(log.plan(2, start_intent("v2", 0))), eq("bad_value"));
+    expect_that!(
+        code(log.plan(3, start_intent("v2", 86_400_001))),
+        eq("bad_value")
+    );
+    expect_that!(code(log.plan(4, cancel.clone())), eq("no_rollout"));
+
+    let plan = log.plan(5, start_intent("v2", 12_000)).unwrap();
+    let competing = log.plan(6, start_intent("v3", 12_000)).unwrap();
+    expect_that!(log.machine.rollouts().iter().count(), eq(0));
+    expect_that!(log.confirm(7, plan.id), ok(anything()));
+    expect_that!(log.rollout().phase, eq(RolloutPhase::Testing));
+    expect_that!(log.confirm(8, competing.id), err(anything()));
+    expect_that!(
+        code(log.plan(9, start_intent("v3", 12_000))),
+        eq("rollout_running")
+    );
+    expect_that!(
+        code(log.plan(10, start_intent("v2", 12_000))),
+        eq("nothing_changes")
+    );
+    // An order through the platform's call meets the same rollout.
+    expect_that!(log.start(1, "v3", 12), eq(&running("v2")));
+
+    let plan = log.plan(11, cancel).unwrap();
+    expect_that!(log.rollout().phase, eq(RolloutPhase::Testing));
+    expect_that!(log.confirm(12, plan.id), ok(anything()));
+    expect_that!(log.rollout().phase, eq(RolloutPhase::RolledBack));
+    expect_that!(log.rollout().reason.as_str(), eq("cancelled"));
+    let decoded = StateMachine::decode(&log.machine.encode());
+    expect_that!(decoded, ok(eq(&log.machine)));
+}
--- a/src/command/operator.rs
+++ b/src/command/operator.rs
@@ -18,6 +18,7 @@
 pub mod plan;
 pub mod plans;
 pub mod render;
+pub mod rollout;
 pub mod status;
 pub mod time;
 
@@ -28,6 +29,7 @@
     plans::COMMAND,
     status::COMMAND,
     audit::COMMAND,
+    rollout::COMMAND,
     configuration::COMMAND,
 ];
 
--- a/src/command/operator/intent.rs
+++ b/src/command/operator/intent.rs
@@ -34,6 +34,8 @@
   remove-endpoint endpoint=
   set-role endpoint= role=
   load-model endpoint= model= version=
+  start-rollout service= to= duration_ms=
+  cancel-rollout service=
 Rates are tokens a second, bursts are tokens, link rates are bytes a second.
 
 ";
