--- a/tests/session/caller.rs
+++ b/tests/session/caller.rs
@@ -45,7 +45,7 @@
         Self::new(Method::POST, path, body)
     }
 
-    fn new(method: Method, path: &str, body: &str) -> Self {
+    pub fn new(method: Method, path: &str, body: &str) -> Self {
         Self {
             method,
             path: path.to_owned(),
--- a/tests/session/process.rs
+++ b/tests/session/process.rs
@@ -64,9 +64,14 @@
         self.log.lock().expect("the lock is not poisoned").clone()
     }
 
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal, named without `SIG`.
     pub fn signal(&self, signal: &str) {
-        let id = self.child.id().to_string();
+        let id = self.id().to_string();
         let sent = Command::new("kill")
             .args([&format!("-{signal}"), &id])
             .status();
--- a/tests/session/system.rs
+++ b/tests/session/system.rs
@@ -388,9 +388,14 @@
         runs
     }
 
+    /// The process of an entry.
+    pub fn process(&self, entry: &str) -> &Process {
+        &self.entries[entry].0
+    }
+
     /// Sends a signal to an entry, named without `SIG`.
     pub fn signal(&self, entry: &str, signal: &str) {
-        self.entries[entry].0.signal(signal);
+        self.process(entry).signal(signal);
     }
 
     /// Kills an entry without a shutdown.
