Add an account of the memory held on behalf of others

Cause: bodies are buffered in full with no accounting across requests, so a flood of permitted bodies exhausts the memory of a process.

Change: the crate mimosa-memory grants, refuses and releases bytes. Part of the account is reserved for small holders. A full account evicts the largest holders whose client made no progress for 3 s, as a pure function of sizes, stall times and client accounts.

--- /dev/null
+++ b/crates/mimosa-memory/src/sizes.rs
@@ -0,0 +1,75 @@
+//! Division of the memory limit and the descriptors of a process.
+
+use std::time::Duration;
+
+use crate::account::AccountSizes;
+
+/// Largest part of the memory limit that is kept for the process at rest, as a divisor.
+const REST_DIVISOR: u64 = 3;
+/// Memory of a process at rest in a cluster of the target size.
+const REST_BYTES: u64 = 32 << 20;
+/// Part of the remaining memory that the account gets, as a divisor. A quarter goes to the buffers of
+/// connections, the last quarter to kernel buffers, copies while buffers grow, and the allocator.
+const ACCOUNT_DIVISOR: u64 = 2;
+const CONNECTIONS_DIVISOR: u64 = 4;
+/// Part of the account that is reserved for small holders, as a divisor.
+const RESERVED_DIVISOR: u64 = 4;
+/// Largest small holder, unless the reserved part is small. Plain requests and prompts of some
+/// thousand tokens are below it.
+const SMALL_BYTES: u64 = 64 << 10;
+/// Small holders for which the reserved part has room at least.
+const MIN_SMALL_HOLDERS: u64 = 32;
+/// Time without progress after which a holder may be evicted from a full account. A client may pause
+/// for 2 s.
+const STALL_TIME: Duration = Duration::from_secs(3);
+/// Descriptors kept for files.
+const FILE_DESCRIPTORS: u64 = 200;
+/// Descriptors kept for connections to control instances, metrics and probes.
+const INTERNAL_DESCRIPTORS: u64 = 64;
+
+/// Division of a process's memory and descriptors.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProcessSizes {
+    /// The memory account.
+    pub account: AccountSizes,
+    /// Memory for the buffers of client connections.
+    pub connections: u64,
+}
+
+impl ProcessSizes {
+    /// Divides a memory limit. `account` overrides the size of the account.
+    pub fn of(memory: u64, account: Option<u64>) -> Self {
+        let rest = REST_BYTES.min(memory / REST_DIVISOR);
+        let available = memory - rest;
+        let account = account.unwrap_or(available / ACCOUNT_DIVISOR);
+        Self {
+            account: account_sizes(account),
+            connections: available / CONNECTIONS_DIVISOR,
+        }
+    }
+
+    /// Largest number of client connections, each with buffers of `buffer_bytes`. Half of the sockets
+    /// are kept for connections to endpoints, as each request may need one.
+    pub fn max_connections(&self, descriptors: u64, buffer_bytes: u64) -> usize {
+        let sockets = descriptors.saturating_sub(FILE_DESCRIPTORS + INTERNAL_DESCRIPTORS);
+        let by_descriptors = sockets / 2;
+        let by_memory = self.connections / buffer_bytes.max(1);
+        usize::try_from(by_descriptors.min(by_memory).max(1)).unwrap_or(usize::MAX)
+    }
+}
+
+/// Divides the bytes of an account.
+pub const fn account_sizes(account: u64) -> AccountSizes {
+    let reserved = account / RESERVED_DIVISOR;
+    let small = reserved / MIN_SMALL_HOLDERS;
+    AccountSizes {
+        general: account - reserved,
+        reserved,
+        small: if small < SMALL_BYTES {
+            small
+        } else {
+            SMALL_BYTES
+        },
+        stall_time: STALL_TIME,
+    }
+}
