--- a/crates/mimosa-config/src/settings.rs
+++ b/crates/mimosa-config/src/settings.rs
@@ -11,6 +11,7 @@
 use crate::entry::EntrySettings;
 use crate::gateway::GatewaySettings;
 use crate::instance::InstanceSettings;
+use crate::limits::LimitSettings;
 use crate::logging::LogSettings;
 use crate::reader::Faults;
 use crate::reader::TableReader;
@@ -25,6 +26,8 @@
     pub runtime: RuntimeSettings,
     /// How much is logged; defaults if the table is missing.
     pub log: LogSettings,
+    /// Limits of memory and descriptors; defaults if the table is missing.
+    pub limits: LimitSettings,
     /// Settings of the entry role, if the process has it.
     pub entry: Option<EntrySettings>,
     /// Settings of the control role, if the process has it.
@@ -113,6 +116,9 @@
     let log = root
         .table("log", faults)
         .map(|reader| LogSettings::read(reader, faults));
+    let limits = root
+        .table("limits", faults)
+        .map(|reader| LimitSettings::read(reader, faults));
     let entry = root
         .table("entry", faults)
         .map(|reader| EntrySettings::read(reader, faults));
@@ -131,6 +137,7 @@
         instance: instance?,
         runtime: runtime.unwrap_or_default(),
         log: log.unwrap_or_default(),
+        limits: limits.unwrap_or_default(),
         entry,
         control: control.flatten(),
         gateway,
--- a/crates/mimosa-config/src/value.rs
+++ b/crates/mimosa-config/src/value.rs
@@ -42,6 +42,30 @@
     }
 }
 
+/// A size in bytes in the notation `512KB`, `96MB` or `64MiB`. `MB` is 10^6 bytes, `MiB` is 2^20.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SizeText(pub u64);
+
+impl FromStr for SizeText {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        const HELP: &str = "a size is a whole number with 'KB', 'MB', 'GB', 'KiB', 'MiB' or 'GiB'";
+        let digits = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
+        let number: u64 = digits.parse().map_err(|_| HELP)?;
+        let bytes = match &text[digits.len()..] {
+            "KB" => 1_000,
+            "MB" => 1_000_000,
+            "GB" => 1_000_000_000,
+            "KiB" => 1 << 10,
+            "MiB" => 1 << 20,
+            "GiB" => 1 << 30,
+            _ => return Err(HELP),
+        };
+        number.checked_mul(bytes).map(Self).ok_or(HELP)
+    }
+}
+
 /// A non-negative ratio such as `0.2`, stored in thousandths.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Ratio(pub u64);
--- a/crates/mimosa-config/tests/check.rs
+++ b/crates/mimosa-config/tests/check.rs
@@ -5,8 +5,10 @@
 use googletest::prelude::*;
 use miette::GraphicalReportHandler;
 use miette::GraphicalTheme;
+use mimosa_config::LimitSettings;
 use mimosa_config::LogLevel;
 use mimosa_config::Settings;
+use mimosa_protocol::ByteSize;
 
 const VALID: &str = r#"
 [instance]
@@ -81,3 +83,27 @@
 fn a_syntax_error_is_reported() {
     insta::assert_snapshot!(report("[instance\nid = \"a\"\n"));
 }
+
+/// Guards against limits that are taken for other units than they are written in.
+#[googletest::test]
+fn limits_are_read_in_their_units() {
+    let limits = |text: &str| parse(&format!("{VALID}[limits]\n{text}")).map(|each| each.limits);
+    let platform = limits("memory = \"96MB\"\ndescriptors = 3075").unwrap();
+    expect_that!(platform.memory, some(eq(ByteSize(96_000_000))));
+    expect_that!(platform.descriptors, some(eq(3_075)));
+    let account = limits("memory = \"64MiB\"\naccount = \"512KB\"").unwrap();
+    expect_that!(account.memory, some(eq(ByteSize(64 << 20))));
+    expect_that!(account.account, some(eq(ByteSize(512_000))));
+    expect_that!(parse(VALID).unwrap().limits, eq(LimitSettings::default()));
+}
+
+/// Guards against limits under which a process could not serve, and against advice that does not help.
+#[googletest::test]
+fn impossible_limits_are_explained() {
+    let text = format!(
+        "{VALID}[limits]\nmemory = \"8MB\"\naccount = \"7MB\"\ndescriptors = 128\nfiles = 1\n"
+    );
+    insta::assert_snapshot!(report(&text));
+    let text = format!("{VALID}[limits]\nmemory = \"96\"\ndescriptors = \"many\"\n");
+    insta::assert_snapshot!(report(&text));
+}
--- a/crates/mimosa-memory/src/sizes.rs
+++ b/crates/mimosa-memory/src/sizes.rs
@@ -27,6 +27,31 @@
 /// Descriptors kept for connections to control instances, metrics and probes.
 const INTERNAL_DESCRIPTORS: u64 = 64;
 
+/// What a process may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProcessLimits {
+    /// Memory in bytes.
+    pub memory: u64,
+    /// Whether the settings limit the memory. If not, sockets keep the system's buffers and bodies have
+    /// no time limit but that of their request.
+    pub is_limited: bool,
+    /// Size of the memory account; `None` derives it from `memory`.
+    pub account: Option<u64>,
+    /// Number of file descriptors.
+    pub descriptors: u64,
+}
+
+impl Default for ProcessLimits {
+    fn default() -> Self {
+        Self {
+            memory: 1 << 30,
+            is_limited: false,
+            account: None,
+            descriptors: 1 << 16,
+        }
+    }
+}
+
 /// Division of a process's memory and descriptors.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProcessSizes {
@@ -37,11 +62,11 @@
 }
 
 impl ProcessSizes {
-    /// Divides a memory limit. `account` overrides the size of the account.
-    pub fn of(memory: u64, account: Option<u64>) -> Self {
-        let rest = REST_BYTES.min(memory / REST_DIVISOR);
-        let available = memory - rest;
-        let account = account.unwrap_or(available / ACCOUNT_DIVISOR);
+    /// Divides the memory of a process.
+    pub fn of(limits: &ProcessLimits) -> Self {
+        let rest = REST_BYTES.min(limits.memory / REST_DIVISOR);
+        let available = limits.memory - rest;
+        let account = limits.account.unwrap_or(available / ACCOUNT_DIVISOR);
         Self {
             account: account_sizes(account),
             connections: available / CONNECTIONS_DIVISOR,
--- a/crates/mimosa-memory/tests/account.rs
+++ b/crates/mimosa-memory/tests/account.rs
@@ -14,6 +14,7 @@
 use mimosa_memory::account::HolderInfo;
 use mimosa_memory::eviction::HolderView;
 use mimosa_memory::eviction::select_victims;
+use mimosa_memory::sizes::ProcessLimits;
 use mimosa_memory::sizes::ProcessSizes;
 use mimosa_protocol::AccountId;
 use mimosa_protocol::Timestamp;
@@ -158,7 +159,11 @@
 fn parts_stay_within_the_limit_and_hold_a_permitted_body() {
     for megabytes in [88, 96, 220, 256] {
         let memory = megabytes * 1_000_000;
-        let sizes = ProcessSizes::of(memory, None);
+        let limits = ProcessLimits {
+            memory,
+            ..ProcessLimits::default()
+        };
+        let sizes = ProcessSizes::of(&limits);
         expect_that!(
             sizes.account.total() + sizes.connections,
             lt(memory * 3 / 4)
