Count the memory that a gateway holds for clients and endpoints

Cause: body::read buffers each body in full without accounting and keeps chunks one by one, nothing limits the number of client connections, and answers that are not read are not counted.

Change: bodies are copied into one buffer that doubles, reserved in the account as bytes arrive. An evicted body is answered 408, one without room 503; nothing was sent to an endpoint then. Answers whose client blocks reserve their buffers, and nothing more is taken from the endpoint without room. Client connections are bounded by descriptors and memory; the longest idle one is closed first.

--- a/crates/mimosa-config/src/gateway.rs
+++ b/crates/mimosa-config/src/gateway.rs
@@ -5,10 +5,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use mimosa_protocol::ByteSize;
+
 use crate::control::SeedAddress;
 use crate::reader::Faults;
 use crate::reader::TableReader;
 use crate::value::Ratio;
+use crate::value::SizeText;
 
 /// The table `[gateway]`: settings of a process that routes requests to endpoints from a list.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,6 +35,8 @@
     pub retry_ratio: Ratio,
     /// Retries allowed per service in addition to `retry_ratio`, across all gateways.
     pub retry_slack: u64,
+    /// Bytes of request bodies that one endpoint holds for all gateways together.
+    pub endpoint_bodies: ByteSize,
 }
 
 impl Default for GatewaySettings {
@@ -47,6 +52,7 @@
             control_silence: Duration::from_secs(3),
             retry_ratio: Ratio(200),
             retry_slack: 20,
+            endpoint_bodies: ByteSize(64 << 20),
         }
     }
 }
@@ -78,6 +84,9 @@
             control_silence: reader.duration("control_silence", default.control_silence, faults),
             retry_ratio: reader.or("retry_ratio", default.retry_ratio, faults),
             retry_slack: reader.or("retry_slack", default.retry_slack, faults),
+            endpoint_bodies: reader
+                .optional("endpoint_bodies", faults)
+                .map_or(default.endpoint_bodies, |SizeText(bytes)| ByteSize(bytes)),
         };
         if settings.seeds.is_empty() {
             let help = "list the addresses of some control instances";
--- a/crates/mimosa-config/src/value.rs
+++ b/crates/mimosa-config/src/value.rs
@@ -50,10 +50,10 @@
     type Err = &'static str;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        const HELP: &str = "a size is a whole number with 'KB', 'MB', 'GB', 'KiB', 'MiB' or 'GiB'";
+        const HELP: &str = "a size is a number with 'KB', 'MB', 'GB', 'KiB', 'MiB' or 'GiB'";
         let digits = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
-        let number: u64 = digits.parse().map_err(|_| HELP)?;
-        let bytes = match &text[digits.len()..] {
+        let number: f64 = digits.parse().map_err(|_| HELP)?;
+        let unit: u32 = match &text[digits.len()..] {
             "KB" => 1_000,
             "MB" => 1_000_000,
             "GB" => 1_000_000_000,
@@ -62,7 +62,10 @@
             "GiB" => 1 << 30,
             _ => return Err(HELP),
         };
-        number.checked_mul(bytes).map(Self).ok_or(HELP)
+        let is_valid = number.is_finite() && number >= 0.0;
+        is_valid
+            .then(|| Self((number * f64::from(unit)) as u64))
+            .ok_or(HELP)
     }
 }
 
--- a/crates/mimosa-gateway/src/client_connection.rs
+++ b/crates/mimosa-gateway/src/client_connection.rs
@@ -9,6 +9,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 
@@ -17,10 +19,12 @@
 use hyper::Version;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
+use mimosa_memory::EvictionSignal;
 use mimosa_route::ClientLimits;
 use mimosa_transport::break_off::ResetFlag;
 use mimosa_transport::break_off::ResetOnError;
 use mimosa_transport::break_off::ResettableStream;
+use mimosa_transport::socket;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -29,8 +33,10 @@
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 
+use crate::answer_window::AnswerWindow;
 use crate::response::Body;
 use crate::response::BodyError;
+use crate::shared::Shared;
 
 /// Phase of a client connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,6 +54,22 @@
     phase: Mutex<Phase>,
     changed: Notify,
     reset: ResetFlag,
+    /// Closes the connection to free its memory or its descriptor.
+    closing: EvictionSignal,
+    window: AnswerWindow,
+    /// Receive buffer that the socket is to get; 0 if none.
+    receive_buffer: AtomicUsize,
+    large_receive_buffer: Option<usize>,
+}
+
+/// What a connection without a complete request waits for. Connections that wait for the first are
+/// closed first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum WaitingFor {
+    /// The first byte of a request.
+    Request,
+    /// The rest of a request head.
+    RestOfHead,
 }
 
 /// Which timeout of a connection expired.
@@ -60,8 +82,13 @@
 }
 
 impl ActivityTracker {
-    pub(crate) fn new() -> Arc<Self> {
+    pub(crate) fn new(shared: &Arc<Shared>) -> Arc<Self> {
+        let closing = EvictionSignal::default();
         Arc::new(Self {
+            window: AnswerWindow::new(Arc::clone(shared), closing.clone()),
+            closing,
+            receive_buffer: AtomicUsize::new(0),
+            large_receive_buffer: shared.memory.large_receive_buffer(),
             phase: Mutex::new(Phase::Idle(Instant::now())),
             changed: Notify::new(),
             reset: ResetFlag::default(),
@@ -73,6 +100,38 @@
         self.set(Phase::Busy);
     }
 
+    /// Makes the connection close, whatever its phase.
+    pub(crate) fn close(&self) {
+        self.closing.set();
+    }
+
+    /// Whether [`Self::close`] was called, or the response on the connection was evicted.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.closing.is_set()
+    }
+
+    /// Resolves when the connection must close.
+    pub(crate) async fn closed(&self) {
+        self.closing.wait().await;
+    }
+
+    /// Whether the connection is idle or receives a head, and since when; ordered by which is closed
+    /// first. `None` while it handles a request.
+    pub(crate) fn waiting_since(&self) -> Option<(WaitingFor, Instant)> {
+        match *self.phase() {
+            Phase::Idle(since) => Some((WaitingFor::Request, since)),
+            Phase::Head(since) => Some((WaitingFor::RestOfHead, since)),
+            Phase::Busy => None,
+        }
+    }
+
+    /// Gives the socket a receive buffer for a large body, if the buffers are bounded.
+    pub(crate) fn enlarge_receive_buffer(&self) {
+        if let Some(bytes) = self.large_receive_buffer {
+            self.receive_buffer.store(bytes, Ordering::Relaxed);
+        }
+    }
+
     /// Wraps the stream of the connection, which reports received bytes here.
     pub(crate) fn track(self: &Arc<Self>, stream: TcpStream) -> TrackedStream {
         TrackedStream {
@@ -142,7 +201,16 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        if !self.tracker.window.may_take(cx) {
+            return Poll::Pending;
+        }
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if let Poll::Ready(Some(Ok(frame))) = &polled
+            && let Some(data) = frame.data_ref()
+        {
+            self.tracker.window.add(data.len());
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
@@ -166,12 +234,26 @@
     tracker: Arc<ActivityTracker>,
 }
 
+impl TrackedStream {
+    fn record_write(&self, polled: &Poll<io::Result<usize>>) {
+        match polled {
+            Poll::Ready(Ok(bytes)) => self.tracker.window.record_written(*bytes),
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => self.tracker.window.record_blocked(),
+        }
+    }
+}
+
 impl AsyncRead for TrackedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.tracker.receive_buffer.load(Ordering::Relaxed) > 0 {
+            let bytes = self.tracker.receive_buffer.swap(0, Ordering::Relaxed);
+            socket::bound_receive_buffer(self.stream.get_ref(), bytes);
+        }
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
         if buf.filled().len() > before {
@@ -187,11 +269,17 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.record_write(&polled);
+        polled
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let polled = Pin::new(&mut self.stream).poll_flush(cx);
+        if polled.is_ready() {
+            self.tracker.window.record_flushed();
+        }
+        polled
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -203,7 +291,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.record_write(&polled);
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/mimosa-gateway/src/connection.rs
+++ b/crates/mimosa-gateway/src/connection.rs
@@ -29,6 +29,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::memory::GatewayMemory;
+
 /// Connect timeout; covers several round trips within a region. Waiting for the retransmission of a
 /// lost packet would take longer than clients of plain services wait.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -43,15 +45,54 @@
 const CRASH_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Maximum size of a response head. Bytes of a head without end are not read beyond it.
 const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Read buffer where memory is limited; as large as heads of clients may be. A response that its client
+/// does not read occupies it.
+const LIMITED_READ_BUFFER_BYTES: usize = 24 << 10;
 /// Maximum number of idle connections per endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 32;
 
+/// Part of all connections up to which idle ones are kept, in quarters. The rest is for new ones.
+const KEPT_QUARTERS: u32 = 3;
+
+/// Limits of the connections to all endpoints together.
+pub(crate) struct EndpointSockets {
+    open: AtomicU32,
+    max: u32,
+    /// Receive buffer; `None` keeps that of the system.
+    receive_buffer: Option<usize>,
+    /// Size of the buffer from which heads and bodies are read.
+    read_buffer: usize,
+}
+
+impl EndpointSockets {
+    pub(crate) fn new(memory: &GatewayMemory) -> Arc<Self> {
+        Arc::new(Self {
+            open: AtomicU32::new(0),
+            max: memory.max_endpoint_connections,
+            receive_buffer: memory.receive_buffer(),
+            read_buffer: match memory.is_limited() {
+                true => LIMITED_READ_BUFFER_BYTES,
+                false => MAX_HEAD_BYTES,
+            },
+        })
+    }
+
+    fn has_room(&self) -> bool {
+        self.open.load(Ordering::Relaxed) < self.max
+    }
+
+    fn may_keep_idle(&self) -> bool {
+        self.open.load(Ordering::Relaxed) <= self.max / 4 * KEPT_QUARTERS
+    }
+}
+
 /// Connection pool of one endpoint.
 #[derive(Clone)]
 pub(crate) struct Pool(Arc<Inner>);
 
 struct Inner {
     address: SocketAddr,
+    sockets: Arc<EndpointSockets>,
     idle: Mutex<VecDeque<Connection>>,
     open_connections: Arc<AtomicU32>,
 }
@@ -67,7 +108,21 @@
 }
 
 /// Counts a connection as open while its task runs.
-struct OpenConnectionGuard(Arc<AtomicU32>);
+struct OpenConnectionGuard {
+    of_endpoint: Arc<AtomicU32>,
+    sockets: Arc<EndpointSockets>,
+}
+
+impl OpenConnectionGuard {
+    fn new(inner: &Inner) -> Self {
+        inner.open_connections.fetch_add(1, Ordering::Relaxed);
+        inner.sockets.open.fetch_add(1, Ordering::Relaxed);
+        Self {
+            of_endpoint: Arc::clone(&inner.open_connections),
+            sockets: Arc::clone(&inner.sockets),
+        }
+    }
+}
 
 /// Why no connection was available.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -81,9 +136,10 @@
 }
 
 impl Pool {
-    pub(crate) fn new(address: SocketAddr) -> Self {
+    pub(crate) fn new(address: SocketAddr, sockets: Arc<EndpointSockets>) -> Self {
         Self(Arc::new(Inner {
             address,
+            sockets,
             idle: Mutex::default(),
             open_connections: Arc::default(),
         }))
@@ -99,10 +155,11 @@
         if let Some(idle) = self.take_idle(now) {
             return Ok(idle);
         }
-        if self.0.open_connections.load(Ordering::Relaxed) >= max_connections {
+        let is_full = self.0.open_connections.load(Ordering::Relaxed) >= max_connections;
+        if is_full || !self.0.sockets.has_room() {
             return Err(PoolError::LimitReached);
         }
-        Connection::open(self.0.address, &self.0.open_connections).await
+        Connection::open(&self.0).await
     }
 
     /// Whether the endpoint's process has ended: no connection is open, and its address refuses a new
@@ -115,7 +172,7 @@
             return false;
         }
         listener_closed.await;
-        match Connection::open(self.0.address, &self.0.open_connections).await {
+        match Connection::open(&self.0).await {
             Ok(connection) => {
                 self.put(now(), connection);
                 false
@@ -138,7 +195,7 @@
     pub(crate) fn put(&self, now: Timestamp, mut connection: Connection) {
         connection.idle_since = now;
         let mut idle = self.idle();
-        if idle.len() < MAX_IDLE_CONNECTIONS {
+        if idle.len() < MAX_IDLE_CONNECTIONS && self.0.sockets.may_keep_idle() {
             idle.push_back(connection);
         }
     }
@@ -163,12 +220,9 @@
 }
 
 impl Connection {
-    async fn open(
-        address: SocketAddr,
-        open_connections: &Arc<AtomicU32>,
-    ) -> Result<Self, PoolError> {
-        open_connections.fetch_add(1, Ordering::Relaxed);
-        let guard = OpenConnectionGuard(Arc::clone(open_connections));
+    async fn open(pool: &Inner) -> Result<Self, PoolError> {
+        let guard = OpenConnectionGuard::new(pool);
+        let address = pool.address;
         let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(e)) => {
@@ -181,9 +235,12 @@
             Err(_) => return Err(PoolError::Unreachable),
         };
         socket::configure(&stream);
+        if let Some(bytes) = pool.sockets.receive_buffer {
+            socket::bound_receive_buffer(&stream, bytes);
+        }
         let (sender, connection) = http1::Builder::new()
             .preserve_header_case(false)
-            .max_buf_size(MAX_HEAD_BYTES)
+            .max_buf_size(pool.sockets.read_buffer)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|_| PoolError::Unreachable)?;
@@ -232,7 +289,8 @@
 
 impl Drop for OpenConnectionGuard {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.of_endpoint.fetch_sub(1, Ordering::Relaxed);
+        self.sockets.open.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
--- a/crates/mimosa-gateway/src/directory.rs
+++ b/crates/mimosa-gateway/src/directory.rs
@@ -18,6 +18,7 @@
 use arc_swap::ArcSwapOption;
 use log::info;
 use log::warn;
+use mimosa_protocol::ByteSize;
 use mimosa_protocol::DataCentreId;
 use mimosa_protocol::EndpointId;
 use mimosa_protocol::InstanceId;
@@ -43,6 +44,7 @@
 use mimosa_schedule::rate_limit::RateLimit;
 use tokio::sync::Notify;
 
+use crate::connection::EndpointSockets;
 use crate::connection::Pool;
 use crate::dialect::ReportedLoad;
 
@@ -50,6 +52,7 @@
 /// lock.
 pub(crate) struct Directory {
     format: Arc<dyn DocumentFormat>,
+    sockets: Arc<EndpointSockets>,
     table: ArcSwapOption<RouteTable>,
     endpoints: ArcSwap<EndpointSet>,
     data_centres_out: ArcSwap<BTreeSet<DataCentreId>>,
@@ -118,6 +121,8 @@
     pub(crate) pool: Pool,
     /// Requests of this gateway in flight at the endpoint.
     pub(crate) in_flight: Arc<AtomicU32>,
+    /// Bytes of the bodies of these requests.
+    body_bytes: Arc<AtomicU64>,
     pub(crate) health: Mutex<Health>,
     reported_load: Mutex<Option<(Timestamp, ReportedLoad)>>,
     /// The rate limit that the endpoint names for all gateways together.
@@ -163,6 +168,11 @@
         !self.is_leaving() && now >= self.paused_until()
     }
 
+    /// Bytes of the bodies of this gateway's requests in flight at the endpoint.
+    pub(crate) fn held_bodies(&self) -> ByteSize {
+        ByteSize(self.body_bytes.load(Ordering::Relaxed))
+    }
+
     pub(crate) fn rate_limit(&self) -> MutexGuard<'_, RateLimit> {
         self.rate_limit
             .lock()
@@ -184,26 +194,38 @@
     }
 }
 
-/// Counts a request as in flight at an endpoint until dropped.
-pub(crate) struct InFlightGuard(Arc<EndpointEntry>);
+/// Counts a request and its body as in flight at an endpoint until dropped.
+pub(crate) struct InFlightGuard {
+    endpoint: Arc<EndpointEntry>,
+    body: ByteSize,
+}
 
 impl InFlightGuard {
-    pub(crate) fn new(endpoint: &Arc<EndpointEntry>) -> Self {
+    pub(crate) fn new(endpoint: &Arc<EndpointEntry>, body: ByteSize) -> Self {
         endpoint.in_flight.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(endpoint))
+        endpoint.body_bytes.fetch_add(body.0, Ordering::Relaxed);
+        Self {
+            endpoint: Arc::clone(endpoint),
+            body,
+        }
     }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+        let endpoint = &self.endpoint;
+        endpoint.in_flight.fetch_sub(1, Ordering::Relaxed);
+        endpoint
+            .body_bytes
+            .fetch_sub(self.body.0, Ordering::Relaxed);
     }
 }
 
 impl Directory {
-    pub(crate) fn new(format: Arc<dyn DocumentFormat>) -> Self {
+    pub(crate) fn new(format: Arc<dyn DocumentFormat>, sockets: Arc<EndpointSockets>) -> Self {
         Self {
             format,
+            sockets,
             table: ArcSwapOption::empty(),
             endpoints: ArcSwap::default(),
             data_centres_out: ArcSwap::default(),
@@ -391,7 +413,8 @@
         for listed in upserted {
             let current = by_id.get(&listed.id);
             if current.is_none_or(|current| !current.is_unchanged(now, listed)) {
-                let entry = EndpointEntry::new(now, listed, current.map(AsRef::as_ref));
+                let current = current.map(AsRef::as_ref);
+                let entry = EndpointEntry::new(now, listed, current, &self.sockets);
                 if self.left().contains(listed) {
                     entry.set_leaving();
                 }
@@ -469,7 +492,12 @@
         is_cold_time_equal && self.listed == with_same_cold_time
     }
 
-    fn new(now: Timestamp, listed: &ListedEndpoint, current: Option<&Self>) -> Self {
+    fn new(
+        now: Timestamp,
+        listed: &ListedEndpoint,
+        current: Option<&Self>,
+        sockets: &Arc<EndpointSockets>,
+    ) -> Self {
         info!(
             "endpoint={} service={} address={} role={:?} state={:?} cold_ms={}",
             listed.id,
@@ -488,11 +516,13 @@
             listed: listed.clone(),
             cold: Mutex::new(cold),
             pool: previous.map_or_else(
-                || Pool::new(listed.address),
+                || Pool::new(listed.address, Arc::clone(sockets)),
                 |previous| previous.pool.clone(),
             ),
             in_flight: previous
                 .map_or_else(Arc::default, |previous| Arc::clone(&previous.in_flight)),
+            body_bytes: previous
+                .map_or_else(Arc::default, |previous| Arc::clone(&previous.body_bytes)),
             health: Mutex::new(
                 previous.map_or_else(Health::default, |previous| previous.health().clone()),
             ),
--- a/crates/mimosa-gateway/src/head.rs
+++ b/crates/mimosa-gateway/src/head.rs
@@ -2,11 +2,14 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hyper::Request;
 use hyper::header;
 use mimosa_protocol::AccountId;
+use mimosa_protocol::ByteSize;
 use mimosa_protocol::ServiceId;
 use mimosa_protocol::Timestamp;
 use mimosa_route::Route;
@@ -31,9 +34,16 @@
     pub(crate) deadline: Timestamp,
     /// Whether an endpoint may have executed the request.
     pub(crate) may_have_run: Arc<AtomicBool>,
+    /// Size of the body, once it was read.
+    pub(crate) body_bytes: Arc<AtomicU64>,
 }
 
 impl IdentifiedRequest {
+    /// Size of the body, once it was read.
+    pub(crate) fn body_size(&self) -> ByteSize {
+        ByteSize(self.body_bytes.load(Ordering::Relaxed))
+    }
+
     pub(crate) fn time_left(&self, now: Timestamp) -> Duration {
         self.deadline.since(now)
     }
@@ -84,6 +94,7 @@
         waiting_since: now,
         deadline: now + timeout,
         may_have_run: Arc::default(),
+        body_bytes: Arc::default(),
     })
 }
 
--- a/crates/mimosa-gateway/src/lib.rs
+++ b/crates/mimosa-gateway/src/lib.rs
@@ -9,16 +9,20 @@
 //!   centres that are taken out of service.
 //! * [`control_link`] keeps the directory up to date.
 //! * [`connection`] pools connections to endpoints; [`client_connection`] enforces time limits on
-//!   connections of clients.
+//!   connections of clients, and [`client_connections`] bounds their number.
+//! * [`memory`] holds the memory account; [`answer_window`] counts responses that are read slowly.
 
+mod answer_window;
 mod body;
 mod client_connection;
+mod client_connections;
 mod connection;
 mod control_link;
 mod directory;
 mod dispatch;
 mod head;
 mod local_quota;
+mod memory;
 mod metrics;
 mod model;
 mod part_quarantine;
--- a/crates/mimosa-gateway/src/metrics.rs
+++ b/crates/mimosa-gateway/src/metrics.rs
@@ -2,11 +2,14 @@
 
 use std::time::Duration;
 
+use mimosa_memory::Pressure;
+use mimosa_memory::Usage;
 use mimosa_metrics::LATENCY_BUCKETS_SECONDS;
 use mimosa_protocol::configuration::EndpointRole;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
 use prometheus::IntCounterVec;
+use prometheus::IntGauge;
 use prometheus::Opts;
 use prometheus::Registry;
 
@@ -25,6 +28,17 @@
     stream_ends: IntCounterVec,
     response_time: HistogramVec,
     queue_time: HistogramVec,
+    memory: MemoryMetrics,
+}
+
+/// Gauges and counters of the memory account.
+struct MemoryMetrics {
+    general: IntGauge,
+    reserved: IntGauge,
+    holders: IntGauge,
+    pressure: IntGauge,
+    client_connections: IntGauge,
+    rejections: IntCounterVec,
 }
 
 impl Metrics {
@@ -44,7 +58,41 @@
             added.expect("each name is used once");
             histogram
         };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("the name is valid");
+            let added = registry.register(Box::new(gauge.clone()));
+            added.expect("each name is used once");
+            gauge
+        };
+        let memory = MemoryMetrics {
+            general: gauge(
+                "mimosa_gateway_memory_general_bytes",
+                "Bytes held for clients and endpoints in the part for any size",
+            ),
+            reserved: gauge(
+                "mimosa_gateway_memory_reserved_bytes",
+                "Bytes held for small requests in the part reserved for them",
+            ),
+            holders: gauge(
+                "mimosa_gateway_memory_holders",
+                "Bodies and slow answers that hold memory",
+            ),
+            pressure: gauge(
+                "mimosa_gateway_memory_pressure",
+                "Memory pressure: 0 low, 1 high, 2 full",
+            ),
+            client_connections: gauge(
+                "mimosa_gateway_client_connections",
+                "Open connections of clients",
+            ),
+            rejections: counter(
+                "mimosa_gateway_memory_rejections_total",
+                "Holders that were evicted, closed as stalled, or refused memory, by reason",
+                &["reason"],
+            ),
+        };
         Self {
+            memory,
             requests: counter(
                 "mimosa_gateway_requests_total",
                 "Requests answered, by service and status",
@@ -158,6 +206,30 @@
             .inc();
     }
 
+    /// Sets the gauges of the memory account and of the client connections.
+    pub(crate) fn set_memory(&self, usage: &Usage, pressure: Pressure, connections: usize) {
+        let gauges = &self.memory;
+        let number = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        gauges.general.set(number(usage.general));
+        gauges.reserved.set(number(usage.reserved));
+        gauges.holders.set(number(usage.holders as u64));
+        gauges.pressure.set(pressure.as_number());
+        gauges.client_connections.set(number(connections as u64));
+    }
+
+    /// Records holders that were evicted from the full account, closed because their client stalled,
+    /// or refused memory.
+    pub(crate) fn add_rejections(&self, evicted: u64, stalled: u64, refused: u64) {
+        for (reason, count) in [
+            ("evicted", evicted),
+            ("stalled", stalled),
+            ("refused", refused),
+        ] {
+            let counter = &self.memory.rejections;
+            counter.with_label_values(&[reason]).inc_by(count);
+        }
+    }
+
     /// Records a request counted against a quota. `how` is `lent` for borrowed quota or `alone` for
     /// the even share.
     pub(crate) fn record_quota_charge(&self, how: &str) {
--- a/crates/mimosa-gateway/src/serve.rs
+++ b/crates/mimosa-gateway/src/serve.rs
@@ -13,6 +13,8 @@
 use log::info;
 
 use crate::body;
+use crate::body::BodyLimits;
+use crate::client_connection::ActivityTracker;
 use crate::head;
 use crate::head::IdentifiedRequest;
 use crate::model;
@@ -36,6 +38,7 @@
 /// Handles one client request. Failures become error responses.
 pub(crate) async fn handle(
     shared: Arc<Shared>,
+    connection: &ActivityTracker,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     let now = shared.now();
@@ -65,7 +68,7 @@
     } else {
         tokio::select! {
             biased;
-            result = execute(&shared, &identified, request) => result,
+            result = execute(&shared, connection, &identified, request) => result,
             () = shared.last_answer_due() => {
                 match identified.may_have_run.load(Ordering::Relaxed) {
                     true => Err(Failure::Lost("this instance shuts down")),
@@ -112,13 +115,20 @@
 
 async fn execute(
     shared: &Arc<Shared>,
+    connection: &ActivityTracker,
     identified: &IdentifiedRequest,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Failure> {
     let (head, body) = request.into_parts();
     let limits = identified.table.configuration().limits;
-    let time_left = identified.time_left(shared.now());
-    let body = body::read(body, limits.max_body, time_left).await?;
+    let limits = BodyLimits {
+        max_size: limits.max_body,
+        time: identified.time_left(shared.now()),
+    };
+    let owner = identified.account.clone();
+    let body = body::read(shared, connection, owner, body, limits).await?;
+    let body_bytes = body.len() as u64;
+    identified.body_bytes.store(body_bytes, Ordering::Relaxed);
     let is_model = identified.route.retry_policy.is_stream();
     let parts = part_quarantine::request_parts(identified, &head.uri, &body);
     let client_request = ClientRequest {
--- a/crates/mimosa-gateway/src/server.rs
+++ b/crates/mimosa-gateway/src/server.rs
@@ -32,9 +32,13 @@
 use tokio::time::timeout_at;
 
 use crate::client_connection::ActivityTracker;
+use crate::client_connections::ClientConnections;
+use crate::connection::EndpointSockets;
 use crate::control_link;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
+use crate::memory;
+use crate::memory::GatewayMemory;
 use crate::response;
 use crate::response::Body;
 use crate::serve;
@@ -79,7 +83,9 @@
     ) -> Result<Running> {
         let (listener, address) = accept::bind(settings.listen).await?;
         let (readiness_listener, readiness) = accept::bind(settings.readiness).await?;
-        let shared = Arc::new(Shared::new(settings, dialect, Directory::new(format)));
+        let memory = GatewayMemory::new(settings.limits);
+        let directory = Directory::new(format, EndpointSockets::new(&memory));
+        let shared = Arc::new(Shared::new(settings, dialect, directory, memory));
         info!(
             "event=start role=gateway instance={} callers={address} readiness={readiness}",
             shared.settings.instance
@@ -88,6 +94,7 @@
         let mut background = vec![
             tokio::spawn(control_link::run(Arc::clone(&shared))),
             tokio::spawn(serve_readiness(readiness_listener, Arc::clone(&shared))),
+            tokio::spawn(memory::watch(Arc::clone(&shared))),
         ];
         let mut metrics_address = None;
         if let Some(address) = shared.settings.metrics {
@@ -171,7 +178,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(serve_connection(stream, &shared, &graceful));
+                serve_client(stream, &shared, &graceful);
             }
             Err(e) => {
                 warn!("cannot accept a client connection: {e}");
@@ -203,7 +210,7 @@
             }
             accepted = listener.accept() => {
                 if let Ok((stream, _)) = accepted {
-                    tokio::spawn(serve_connection(stream, shared, &late_connections));
+                    serve_client(stream, shared, &late_connections);
                 }
             }
         }
@@ -219,16 +226,31 @@
     }
 }
 
+/// Serves a new connection in a task of its own, or closes it if there are too many.
+fn serve_client(stream: TcpStream, shared: &Arc<Shared>, graceful: &GracefulShutdown) {
+    let tracker = ActivityTracker::new(shared);
+    if let Some(open) = ClientConnections::admit(shared, &tracker) {
+        let serving = serve_connection(stream, tracker, shared, graceful);
+        tokio::spawn(async move {
+            serving.await;
+            drop(open);
+        });
+    }
+}
+
 fn serve_connection(
     stream: TcpStream,
+    tracker: Arc<ActivityTracker>,
     shared: &Arc<Shared>,
     graceful: &GracefulShutdown,
 ) -> impl Future<Output = ()> + use<> {
     socket::configure(&stream);
+    if let Some(bytes) = shared.memory.receive_buffer() {
+        socket::bound_receive_buffer(&stream, bytes);
+    }
     let table = shared.directory.table();
     let limits = table.map_or_else(ClientLimits::default, |table| table.configuration().limits);
     let shared = Arc::clone(shared);
-    let tracker = ActivityTracker::new();
     let service_tracker = Arc::clone(&tracker);
     let stream = tracker.track(stream);
     let service = service_fn(move |request: Request<Incoming>| {
@@ -237,7 +259,7 @@
         let tracker = Arc::clone(&service_tracker);
         tracker.set_busy();
         async move {
-            let result = serve::handle(shared, request).await;
+            let result = serve::handle(shared, &tracker, request).await;
             result.map(|response| response.map(|body| tracker.idle_after(version, body)))
         }
     });
@@ -261,6 +283,9 @@
             expired = tracker.expired(limits) => {
                 debug!("closing client connection: overdue={expired:?}");
             }
+            () = tracker.closed() => {
+                debug!("closing client connection: reason=\"room is needed\"");
+            }
         }
     }
 }
--- a/crates/mimosa-gateway/src/settings.rs
+++ b/crates/mimosa-gateway/src/settings.rs
@@ -5,9 +5,12 @@
 use std::time::Duration;
 
 use mimosa_hold::retry::RetrySettings;
+use mimosa_protocol::ByteSize;
 use mimosa_protocol::DataCentreId;
 use mimosa_protocol::InstanceId;
 
+pub use mimosa_memory::sizes::ProcessLimits;
+
 /// Settings of a gateway instance.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -26,10 +29,18 @@
     pub metrics: Option<SocketAddr>,
     /// Port on which control instances accept gateway connections.
     pub control_port: u16,
+    /// Memory and descriptors that the process may use.
+    pub limits: ProcessLimits,
+    /// Bytes of request bodies that one endpoint holds for all gateways together, where the memory of
+    /// the process is limited.
+    pub endpoint_bodies: ByteSize,
     /// Settings that can change while the gateway runs.
     pub reloadable: Reloadable,
 }
 
+/// Default of [`Settings::endpoint_bodies`]: 16 bodies of the largest size.
+pub const DEFAULT_ENDPOINT_BODIES: ByteSize = ByteSize(64 << 20);
+
 /// Settings that a running gateway can reload.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reloadable {
--- a/crates/mimosa-gateway/src/shared.rs
+++ b/crates/mimosa-gateway/src/shared.rs
@@ -10,20 +10,24 @@
 
 use arc_swap::ArcSwap;
 use mimosa_hold::retry::RetryBudget;
+use mimosa_protocol::ByteSize;
 use mimosa_protocol::Incarnation;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::ServiceId;
 use mimosa_protocol::Timestamp;
 use mimosa_route::RetryPolicy;
+use mimosa_schedule::body_bound::allows_body;
 use mimosa_schedule::rate_limit::Senders;
 use mimosa_transport::clock::Clock;
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+use crate::client_connections::ClientConnections;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::dispatch::PlacementClient;
 use crate::local_quota::LocalQuota;
+use crate::memory::GatewayMemory;
 use crate::metrics::Metrics;
 use crate::part_quarantine::KnownSuspects;
 use crate::settings::Reloadable;
@@ -57,6 +61,8 @@
     /// Prompt parts and requests that crash endpoints.
     pub(crate) suspects: KnownSuspects,
     pub(crate) metrics: Metrics,
+    pub(crate) memory: GatewayMemory,
+    pub(crate) client_connections: ClientConnections,
     /// Start of the drain in microseconds; 0 if the gateway is not draining.
     drain_started_us: AtomicU64,
     /// Notified when the drain starts.
@@ -74,7 +80,12 @@
 }
 
 impl Shared {
-    pub(crate) fn new(settings: Settings, dialect: Arc<dyn Dialect>, directory: Directory) -> Self {
+    pub(crate) fn new(
+        settings: Settings,
+        dialect: Arc<dyn Dialect>,
+        directory: Directory,
+        memory: GatewayMemory,
+    ) -> Self {
         let mut seed = [0; 8];
         getrandom::fill(&mut seed).expect("the operating system provides random bytes");
         Self {
@@ -88,6 +99,8 @@
             local_quota: LocalQuota::default(),
             suspects: KnownSuspects::default(),
             metrics: Metrics::new(),
+            memory,
+            client_connections: ClientConnections::default(),
             drain_started_us: AtomicU64::new(0),
             drain_started: Notify::new(),
             gateways: AtomicU32::new(ASSUMED_GATEWAYS),
@@ -137,6 +150,13 @@
         }
     }
 
+    /// Whether a request with a body of this size may be sent to an endpoint where this gateway's
+    /// requests in flight have bodies of `held` bytes.
+    pub(crate) fn allows_body(&self, held: ByteSize, body: ByteSize) -> bool {
+        let bound = self.settings.endpoint_bodies;
+        !self.memory.is_limited() || allows_body(bound, self.senders(), held, body)
+    }
+
     /// A pseudo-random number for load spreading; not for security.
     pub(crate) fn random(&self) -> u64 {
         // Weyl sequence and the finalizer of SplitMix64.
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -147,6 +147,7 @@
         .filter(|each| each.accepts_requests(now))
         .filter(|each| each.cold().allows_request(now, pacing))
         .filter(|each| each.rate_limit().allows_request(now, shared.senders()))
+        .filter(|each| shared.allows_body(each.held_bodies(), request.body_size()))
         .collect();
     let candidates: Vec<_> = usable
         .iter()
@@ -234,7 +235,7 @@
     time_limit: Duration,
 ) -> Result<UpstreamResponse, CallFailure> {
     let now = shared.now();
-    let in_flight = InFlightGuard::new(endpoint);
+    let in_flight = InFlightGuard::new(endpoint, request.body_size());
     let service = request.table.service(&request.service);
     let max_connections = service.map_or(MIN_CONNECTIONS, |service| {
         (service.max_connections / CONNECTION_SHARE_DIVISOR).max(MIN_CONNECTIONS)
--- a/crates/mimosa-memory/src/memory.rs
+++ b/crates/mimosa-memory/src/memory.rs
@@ -89,14 +89,15 @@
     }
 
     /// Adds a holder without bytes. `declared` is the size that the client declared; 0 if it is unknown.
+    /// `signal` is set when the holder is evicted.
     pub fn holder(
         &self,
-        now: Timestamp,
+        progress: Progress,
         owner: Option<AccountId>,
         declared: u64,
         signal: EvictionSignal,
     ) -> Reservation {
-        let progress = Arc::new(Progress::new(now));
+        let progress = Arc::new(progress);
         let info = HolderInfo {
             owner,
             declared,
--- a/crates/mimosa-memory/src/progress.rs
+++ b/crates/mimosa-memory/src/progress.rs
@@ -17,14 +17,23 @@
 pub struct Progress {
     last: AtomicU64,
     bytes: AtomicU64,
+    /// Time without progress that does not count as a stall.
+    grace: Duration,
 }
 
 impl Progress {
     /// Starts with progress at `now`.
     pub const fn new(now: Timestamp) -> Self {
+        Self::with_grace(now, Duration::ZERO)
+    }
+
+    /// Starts with progress at `now`. Only time without progress beyond `grace` counts as a stall, for
+    /// progress that is observed late.
+    pub const fn with_grace(now: Timestamp, grace: Duration) -> Self {
         Self {
             last: AtomicU64::new(now.as_micros()),
             bytes: AtomicU64::new(0),
+            grace,
         }
     }
 
@@ -53,6 +62,7 @@
     /// Time without progress of the client; zero while the holder does not wait for it.
     pub fn stalled_for(&self, now: Timestamp) -> Duration {
         // NOT_WAITING lies in the future.
-        now.since(Timestamp(self.last.load(Ordering::Relaxed)))
+        let idle = now.since(Timestamp(self.last.load(Ordering::Relaxed)));
+        idle.saturating_sub(self.grace)
     }
 }
--- a/crates/mimosa-memory/src/sizes.rs
+++ b/crates/mimosa-memory/src/sizes.rs
@@ -73,16 +73,25 @@
         }
     }
 
+    /// Largest number of connections to endpoints.
+    pub fn max_endpoint_connections(&self, descriptors: u64) -> u32 {
+        u32::try_from((sockets(descriptors) / 2).max(1)).unwrap_or(u32::MAX)
+    }
+
     /// Largest number of client connections, each with buffers of `buffer_bytes`. Half of the sockets
     /// are kept for connections to endpoints, as each request may need one.
     pub fn max_connections(&self, descriptors: u64, buffer_bytes: u64) -> usize {
-        let sockets = descriptors.saturating_sub(FILE_DESCRIPTORS + INTERNAL_DESCRIPTORS);
-        let by_descriptors = sockets / 2;
+        let by_descriptors = sockets(descriptors) / 2;
         let by_memory = self.connections / buffer_bytes.max(1);
         usize::try_from(by_descriptors.min(by_memory).max(1)).unwrap_or(usize::MAX)
     }
 }
 
+/// Descriptors for connections to clients and endpoints.
+const fn sockets(descriptors: u64) -> u64 {
+    descriptors.saturating_sub(FILE_DESCRIPTORS + INTERNAL_DESCRIPTORS)
+}
+
 /// Divides the bytes of an account.
 pub const fn account_sizes(account: u64) -> AccountSizes {
     let reserved = account / RESERVED_DIVISOR;
--- a/crates/mimosa-memory/tests/memory.rs
+++ b/crates/mimosa-memory/tests/memory.rs
@@ -6,6 +6,7 @@
 use mimosa_memory::AccountSizes;
 use mimosa_memory::EvictionSignal;
 use mimosa_memory::Memory;
+use mimosa_memory::Progress;
 use mimosa_memory::Refused;
 use mimosa_memory::Reservation;
 use mimosa_protocol::Timestamp;
@@ -20,7 +21,7 @@
 const LATER: Timestamp = Timestamp::from_secs(9);
 
 fn holder(memory: &Memory) -> Reservation {
-    memory.holder(START, None, 0, EvictionSignal::default())
+    memory.holder(Progress::new(START), None, 0, EvictionSignal::default())
 }
 
 /// Guards against bytes that stay counted after their holder is gone.
@@ -50,7 +51,7 @@
         .expect("there is room");
     let mut early = holder(&memory);
     expect_that!(early.grow_to(|| START, 500).await, err(eq(Refused)));
-    let mut new = memory.holder(LATER, None, 0, EvictionSignal::default());
+    let mut new = memory.holder(Progress::new(LATER), None, 0, EvictionSignal::default());
     let evicted = tokio::spawn(async move {
         stalled.signal().wait().await;
         let refused = stalled.grow_to(|| LATER, 3_001).await;
--- a/crates/mimosa-schedule/src/lib.rs
+++ b/crates/mimosa-schedule/src/lib.rs
@@ -123,6 +123,7 @@
 
 pub mod action;
 pub mod balance;
+pub mod body_bound;
 pub mod cold;
 pub mod event;
 pub mod fence;
--- a/crates/mimosa-transport/src/break_off.rs
+++ b/crates/mimosa-transport/src/break_off.rs
@@ -47,6 +47,11 @@
     pub const fn new(stream: TcpStream, reset: ResetFlag) -> Self {
         Self { stream, reset }
     }
+
+    /// The connection.
+    pub const fn get_ref(&self) -> &TcpStream {
+        &self.stream
+    }
 }
 
 impl Drop for ResettableStream {
--- a/crates/mimosa-transport/src/socket.rs
+++ b/crates/mimosa-transport/src/socket.rs
@@ -42,6 +42,16 @@
     }
 }
 
+/// Bounds the bytes that the kernel keeps for a connection before they are read. Linux doubles the
+/// value for its own overhead.
+///
+/// A failure is logged and otherwise ignored.
+pub fn bound_receive_buffer(stream: &TcpStream, bytes: usize) {
+    if let Err(e) = SockRef::from(stream).set_recv_buffer_size(bytes) {
+        debug!("cannot set SO_RCVBUF: {e}");
+    }
+}
+
 /// Makes the close of a connection reset it and discard what was not sent, so that the peer reads an
 /// error in place of an orderly end.
 ///
--- a/src/command/demo/gateway.rs
+++ b/src/command/demo/gateway.rs
@@ -12,6 +12,8 @@
 use mimosa_control::routing::Integration;
 use mimosa_control::settings::Discovery;
 use mimosa_gateway::Gateway;
+use mimosa_gateway::settings::DEFAULT_ENDPOINT_BODIES;
+use mimosa_gateway::settings::ProcessLimits;
 use mimosa_gateway::settings::Reloadable;
 use mimosa_platform::EngineClient;
 use mimosa_platform::OperatorApi;
@@ -80,6 +82,8 @@
             readiness: any_loopback_port(),
             metrics: Some(any_loopback_port()),
             control_port: control.entry_address().port(),
+            limits: ProcessLimits::default(),
+            endpoint_bodies: DEFAULT_ENDPOINT_BODIES,
             reloadable: Reloadable {
                 seeds: BTreeSet::from([control_id]),
                 ..Reloadable::default()
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -8,6 +8,7 @@
 use mimosa_config::ControlSettings;
 use mimosa_config::GatewaySettings;
 use mimosa_config::InstanceSettings;
+use mimosa_config::LimitSettings;
 use mimosa_consensus::VoterPolicy;
 use mimosa_control::settings::Discovery;
 use mimosa_gateway::settings::RetryLimits;
@@ -80,7 +81,11 @@
 }
 
 /// Settings of a gateway, with those that it can reload.
-pub fn gateway(instance: &InstanceSettings, settings: GatewaySettings) -> mimosa_gateway::Settings {
+pub fn gateway(
+    instance: &InstanceSettings,
+    limits: &LimitSettings,
+    settings: GatewaySettings,
+) -> mimosa_gateway::Settings {
     mimosa_gateway::Settings {
         instance: instance.id.clone(),
         cluster: instance.cluster.clone(),
@@ -89,6 +94,8 @@
         readiness: settings.readiness,
         metrics: settings.metrics,
         control_port: settings.control_port,
+        limits: limits.resolve(),
+        endpoint_bodies: settings.endpoint_bodies,
         reloadable: gateway_reloadable(&settings),
     }
 }
