Keep part of the reserved memory for the smallest requests

Cause: a flood of bodies just below the small size fills the reserved part, so that ordinary requests wait for evictions.

Change: the last quarter of the reserved part is for holders up to 4 KiB, the first step of a body.

--- a/crates/mimosa-memory/src/account.rs
+++ b/crates/mimosa-memory/src/account.rs
@@ -25,11 +25,19 @@
     pub reserved: u64,
     /// Largest number of bytes that a small holder has.
     pub small: u64,
+    /// Largest number of bytes of holders that may use the last quarter of the reserved part, so that a
+    /// flood of small holders leaves room for ordinary requests.
+    pub tiny: u64,
     /// Time without progress after which a holder may be evicted.
     pub stall_time: Duration,
 }
 
 impl AccountSizes {
+    /// Bytes of the reserved part that all small holders share.
+    pub const fn reserved_for_small(&self) -> u64 {
+        self.reserved - self.reserved / 4
+    }
+
     /// Bytes of the whole account.
     pub const fn total(&self) -> u64 {
         self.general + self.reserved
@@ -278,7 +286,11 @@
             (Pool::General, Pool::General) | (Pool::Reserved, Pool::Reserved) => before.1,
             _ => 0,
         };
-        (self.usage.of(pool) - own + bytes).saturating_sub(self.size(pool))
+        let size = match pool {
+            Pool::Reserved if bytes > self.sizes.tiny => self.sizes.reserved_for_small(),
+            _ => self.size(pool),
+        };
+        (self.usage.of(pool) - own + bytes).saturating_sub(size)
     }
 
     const fn size(&self, pool: Pool) -> u64 {
--- a/crates/mimosa-memory/src/sizes.rs
+++ b/crates/mimosa-memory/src/sizes.rs
@@ -17,6 +17,8 @@
 /// Largest small holder, unless the reserved part is small. Plain requests and prompts of some
 /// thousand tokens are below it.
 const SMALL_BYTES: u64 = 64 << 10;
+/// Largest tiny holder: the first step of a body's buffer, in which ordinary requests fit.
+const TINY_BYTES: u64 = 4 << 10;
 /// Small holders for which the reserved part has room at least.
 const MIN_SMALL_HOLDERS: u64 = 32;
 /// Time without progress after which a holder may be evicted from a full account. A client may pause
@@ -104,6 +106,11 @@
         } else {
             SMALL_BYTES
         },
+        tiny: if small < TINY_BYTES {
+            small
+        } else {
+            TINY_BYTES
+        },
         stall_time: STALL_TIME,
     }
 }
--- a/crates/mimosa-memory/tests/memory.rs
+++ b/crates/mimosa-memory/tests/memory.rs
@@ -15,6 +15,7 @@
     general: 3_000,
     reserved: 1_000,
     small: 64,
+    tiny: 8,
     stall_time: Duration::from_secs(3),
 };
 const START: Timestamp = Timestamp::from_secs(1);
