Log the pressure on memory at most twice in 10 s, and count buffered answers

Cause: the pressure could change each second of a flood in waves; answers of up to 64 KiB that are collected before they are forwarded were not counted.

Change: the pressure stays full for 10 s after a rejection, and lines count since the last one.

--- a/crates/mimosa-gateway/src/answer_window.rs
+++ b/crates/mimosa-gateway/src/answer_window.rs
@@ -33,6 +33,31 @@
 /// third of its send buffer is read; that is 21 KB of 64 KB, at 1 KB/s.
 const READER_GRACE: Duration = Duration::from_secs(27);
 
+/// Memory for a response that is buffered before it is forwarded.
+pub(crate) enum ResponseBuffer {
+    /// Part of the connection's own buffers.
+    Free,
+    /// Counted until dropped.
+    Reserved { _reservation: Reservation },
+}
+
+/// Reserves memory for a response of `bytes`; `None` if the account is full.
+pub(crate) fn reserve_buffer(shared: &Shared, bytes: u64) -> Option<ResponseBuffer> {
+    if bytes <= FREE_BYTES {
+        return Some(ResponseBuffer::Free);
+    }
+    let now = shared.now();
+    let progress = Progress::new(now);
+    // The response depends on the endpoint, not on the client.
+    progress.stop_waiting();
+    let account = &shared.memory.account;
+    let mut reservation = account.holder(progress, None, bytes, EvictionSignal::default());
+    let is_granted = reservation.try_grow_to(now, bytes) == Decision::Granted;
+    is_granted.then_some(ResponseBuffer::Reserved {
+        _reservation: reservation,
+    })
+}
+
 /// Unsent bytes of the response on a connection, and their reservation.
 pub(crate) struct AnswerWindow {
     shared: Arc<Shared>,
--- a/crates/mimosa-gateway/src/memory.rs
+++ b/crates/mimosa-gateway/src/memory.rs
@@ -3,13 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use log::Level;
 use log::info;
-use log::warn;
+use log::log;
 use mimosa_memory::Memory;
 use mimosa_memory::Pressure;
 use mimosa_memory::Usage;
 use mimosa_memory::sizes::ProcessLimits;
 use mimosa_memory::sizes::ProcessSizes;
+use mimosa_protocol::Timestamp;
 use tokio::time::sleep;
 
 use crate::shared::Shared;
@@ -20,6 +22,9 @@
 /// Time without progress after which a body is closed although there is room. A client may pause for
 /// 2 s; the kernel closes connections to vanished clients after 9 s.
 const STALLED_BODY_TIME: Duration = Duration::from_secs(10);
+/// Time after a refusal or an eviction in which the pressure stays full, so that a flood in waves causes
+/// few log lines.
+const REJECTION_MEMORY: Duration = Duration::from_secs(10);
 /// Memory of a client connection: up to 24 KiB of read buffer, and its task. Measured: 16 KiB idle,
 /// 34 KiB with a head of 15 KB (debug build).
 const CONNECTION_BYTES: u64 = 32 << 10;
@@ -77,49 +82,71 @@
         memory.max_connections,
         memory.max_endpoint_connections
     );
-    let mut pressure = Pressure::default();
+    let mut log = PressureLog::default();
     let mut before = Usage::default();
-    let mut closed_before = 0;
     loop {
         sleep(WATCH_INTERVAL).await;
+        let now = shared.now();
         if memory.is_limited() {
-            memory
-                .account
-                .evict_stalled(shared.now(), STALLED_BODY_TIME);
+            memory.account.evict_stalled(now, STALLED_BODY_TIME);
         }
         let usage = memory.account.usage();
-        let connections = &shared.client_connections;
-        let closed = connections.closed_for_room();
-        let has_rejected = usage.evicted > before.evicted
-            || usage.refused > before.refused
-            || closed > closed_before;
-        let next = pressure.next(usage.general, sizes.general, has_rejected);
-        shared.metrics.set_memory(&usage, next, connections.open());
+        let open = shared.client_connections.open();
+        let closed = shared.client_connections.closed_for_room();
+        log.update(now, &usage, sizes.general, open, closed);
+        shared.metrics.set_memory(&usage, log.pressure, open);
         shared.metrics.add_rejections(
             usage.evicted - before.evicted,
             usage.stalled - before.stalled,
             usage.refused - before.refused,
         );
-        if next != pressure {
-            let held = usage.general + usage.reserved;
-            let evicted = usage.evicted - before.evicted;
-            let refused = usage.refused - before.refused;
-            let holders = usage.holders;
-            let open = connections.open();
-            let closed = closed - closed_before;
-            let line = format!(
-                "event=memory_pressure from={pressure} to={next} held={held} account={} \
-                 holders={holders} evicted={evicted} refused={refused} connections={open} \
-                 closed={closed}",
-                sizes.total()
-            );
-            match next {
-                Pressure::Full => warn!("{line}"),
-                Pressure::Low | Pressure::High => info!("{line}"),
-            }
-        }
-        pressure = next;
         before = usage;
-        closed_before = closed;
+    }
+}
+
+/// The pressure, and the counters when it last changed.
+#[derive(Default)]
+struct PressureLog {
+    pressure: Pressure,
+    last_rejection: Option<Timestamp>,
+    rejections: u64,
+    logged: Usage,
+    logged_closed: u64,
+}
+
+impl PressureLog {
+    /// Evaluates the pressure and logs a change of it. `open` and `closed` count client connections.
+    fn update(&mut self, now: Timestamp, usage: &Usage, size: u64, open: usize, closed: u64) {
+        let rejections = usage.evicted + usage.refused + closed;
+        if rejections > self.rejections {
+            self.last_rejection = Some(now);
+        }
+        self.rejections = rejections;
+        let is_recent = |last| now.since(last) < REJECTION_MEMORY;
+        let has_rejected = self.last_rejection.is_some_and(is_recent);
+        let next = self.pressure.next(usage.general, size, has_rejected);
+        if next == self.pressure {
+            return;
+        }
+        let level = match next {
+            Pressure::Full => Level::Warn,
+            Pressure::Low | Pressure::High => Level::Info,
+        };
+        log!(
+            level,
+            "event=memory_pressure from={} to={next} general={} reserved={} holders={} evicted={} \
+             stalled={} refused={} connections={open} connections_closed={}",
+            self.pressure,
+            usage.general,
+            usage.reserved,
+            usage.holders,
+            usage.evicted - self.logged.evicted,
+            usage.stalled - self.logged.stalled,
+            usage.refused - self.logged.refused,
+            closed - self.logged_closed
+        );
+        self.pressure = next;
+        self.logged = *usage;
+        self.logged_closed = closed;
     }
 }
--- a/crates/mimosa-gateway/src/relay.rs
+++ b/crates/mimosa-gateway/src/relay.rs
@@ -25,6 +25,7 @@
 use tokio::time::Sleep;
 use tokio::time::sleep;
 
+use crate::answer_window;
 use crate::connection::Connection;
 use crate::directory::EndpointEntry;
 use crate::directory::InFlightGuard;
@@ -43,7 +44,7 @@
 /// complete, and a failed one can still be replaced by a retry.
 const MAX_BUFFERED_BYTES: u64 = 64 << 10;
 
-/// Buffers a small response. Streams it if its length is unknown or too large.
+/// Buffers a small response. Streams it if its length is unknown or too large, or memory is full.
 pub(crate) async fn buffer_or_stream(
     shared: &Arc<Shared>,
     upstream_response: UpstreamResponse,
@@ -51,7 +52,10 @@
     mut tracked: TrackedRun,
 ) -> Result<Response<Body>, CallFailure> {
     let length = upstream_response.response.body().size_hint().exact();
-    if length.is_none_or(|length| length > MAX_BUFFERED_BYTES) {
+    let length = length.filter(|length| *length <= MAX_BUFFERED_BYTES);
+    // Held until the response is complete; then the connection of the client accounts for it.
+    let reserved = length.and_then(|length| answer_window::reserve_buffer(shared, length));
+    if reserved.is_none() {
         let info = StreamInfo {
             deadline,
             tracked: Some(tracked),
@@ -70,6 +74,7 @@
     let collected = body.collect().await;
     let now = shared.now();
     drop(in_flight);
+    drop(reserved);
     match collected {
         Ok(body) => {
             record_health(&endpoint, now, sent, head.status.is_server_error());
