Count the memory that an entry holds for clients and endpoints

Cause: an entry buffers bodies and collected completions in full without accounting, its connections wait for a slot behind clients that never finish, and responses that are not read are not counted.

Change: bodies are copied into one buffer that doubles, reserved in the account as bytes arrive. A declared length over the limit is refused (413) before a byte is read. An evicted body is answered 408, one without room 503 (memory_full, with Retry-After); both promise "ran":"no". A completion that is not streamed, and an answer for the ledger, reserve memory before their request is sent; the rest of a collected completion waits for room, and stays counted until its client has read it. A response whose client blocks reserves its buffers, and nothing more is taken from the endpoint without room; the read buffer of a connection to an endpoint is bounded (32 KiB). At the bound of client connections the longest idle one is closed. Where [limits] memory is set, sockets get bounded receive buffers, and stalled bodies are closed after 10 s.

--- a/crates/mimosa-entry/src/engine/http.rs
+++ b/crates/mimosa-entry/src/engine/http.rs
@@ -51,6 +51,9 @@
 /// Timeout for the headers, and again for the body, of a small response: to a cancellation, a load
 /// report or an error.
 const SMALL_RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum size of the read buffer of a connection, and of a response head. The entry holds it for each response
+/// that its client reads slowly.
+const MAX_BUFFER_BYTES: usize = 32 << 10;
 /// Maximum size of such a response, and of that to a prefill.
 const MAX_SMALL_RESPONSE_BYTES: usize = 64 << 10;
 
@@ -103,6 +106,7 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_timer(TokioTimer::new())
+            .http1_max_buf_size(MAX_BUFFER_BYTES)
             .retry_canceled_requests(false)
             .build(connector);
         Self {
--- a/crates/mimosa-entry/src/metrics.rs
+++ b/crates/mimosa-entry/src/metrics.rs
@@ -20,6 +20,10 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::metrics::memory::MemoryMetrics;
+
+pub(crate) mod memory;
+
 /// Maximum number of accounts with their own label, which bounds the number of time series. The
 /// first accounts that are served get one; all others share [`OTHER_ACCOUNTS`].
 const MAX_ACCOUNT_LABELS: usize = 100;
@@ -42,6 +46,7 @@
     running_requests: IntGaugeVec,
     revision: IntGauge,
     keys_honoured: IntGauge,
+    pub(crate) memory: MemoryMetrics,
 }
 
 impl Metrics {
@@ -106,6 +111,7 @@
                 &["service"],
             ),
             account_labels: std::sync::Mutex::default(),
+            memory: MemoryMetrics::new(&registry),
             running_requests,
             revision,
             keys_honoured,
--- a/crates/mimosa-entry/src/model_request.rs
+++ b/crates/mimosa-entry/src/model_request.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use axum::body::Bytes;
 use mimosa_hold::part_quarantine::RequestParts;
 use mimosa_hold::quarantine::Fingerprint;
 use mimosa_protocol::Refusal;
@@ -98,7 +97,7 @@
     ///
     /// [`RefusalReason::Malformed`] if the body is no JSON object with a model and a prompt;
     /// [`RefusalReason::NotFound`] if the model's name is not a valid service name.
-    pub(crate) fn parse(kind: CompletionKind, body: &Bytes) -> Result<Self, Refusal> {
+    pub(crate) fn parse(kind: CompletionKind, body: &[u8]) -> Result<Self, Refusal> {
         const MALFORMED: Refusal = Refusal::not_run(RefusalReason::Malformed);
         let routing: RoutingFields<'_> = serde_json::from_slice(body).map_err(|_| MALFORMED)?;
         let fields: JsonFields = serde_json::from_slice(body).map_err(|_| MALFORMED)?;
--- a/crates/mimosa-entry/src/plain.rs
+++ b/crates/mimosa-entry/src/plain.rs
@@ -24,6 +24,8 @@
 use http_body_util::Limited;
 use mimosa_hold::part_quarantine::RequestParts;
 use mimosa_hold::quarantine::Fingerprint;
+use mimosa_memory::Refused;
+use mimosa_memory::Reservation;
 use mimosa_protocol::AccountId;
 use mimosa_protocol::EndpointId;
 use mimosa_protocol::ExecutionStatus;
@@ -49,6 +51,8 @@
 use crate::access::authorise;
 use crate::attempt::Attempt;
 use crate::attempt::AttemptFailure;
+use crate::body::MEMORY_FULL;
+use crate::connection::Connection;
 use crate::engine::EngineFailure;
 use crate::engine::EngineResponse;
 use crate::engine::PlainRequest;
@@ -78,6 +82,7 @@
 /// An authorised request to a plain service.
 pub(crate) struct ServiceRequest {
     pub(crate) shared: Arc<Shared>,
+    pub(crate) connection: Arc<Connection>,
     pub(crate) caller: Caller,
     pub(crate) request: RequestId,
     pub(crate) arrived: Timestamp,
@@ -188,6 +193,9 @@
         queue: &Arc<dyn RequestQueue>,
         key: LedgerKey,
     ) -> Result<Response, Refusal> {
+        let mut holder = self.connection.response_holder(Some(self.account_id()));
+        let reserved = holder.grow_to(|| self.shared.now(), MAX_RECORDED_BYTES as u64);
+        reserved.await.map_err(|Refused| MEMORY_FULL)?;
         let begin = LedgerBegin {
             request: self.request,
             key: key.clone(),
@@ -196,7 +204,7 @@
         };
         match self.shared.control.begin(begin).await {
             LedgerAnswer::Run => {}
-            LedgerAnswer::Recorded(answer) => return Ok(recorded_response(answer)),
+            LedgerAnswer::Recorded(answer) => return Ok(self.recorded_response(answer, holder)),
             LedgerAnswer::Unknown => return Err(Refusal::unknown(RefusalReason::EndpointFailed)),
             LedgerAnswer::Conflict => {
                 return Err(Refusal::not_run(RefusalReason::IdempotencyConflict));
@@ -221,7 +229,7 @@
                 intent.end(end_of_failure(&failed));
                 Err(refusal_of(&failed))
             }
-            Ok(Ok(answered)) => self.record_response(intent, answered).await,
+            Ok(Ok(answered)) => self.record_response(intent, answered, holder).await,
         }
     }
 
@@ -230,6 +238,7 @@
         &self,
         mut intent: LedgerIntent<'_>,
         answered: AnsweredCall,
+        holder: Reservation,
     ) -> Result<Response, Refusal> {
         let AnsweredCall {
             attempt,
@@ -268,7 +277,7 @@
             body: body.to_bytes().to_vec(),
         };
         intent.end(LedgerEnd::Answered(recorded.clone()));
-        Ok(recorded_response(recorded))
+        Ok(self.recorded_response(recorded, holder))
     }
 
     /// Waits in the queue and makes one attempt. The outer error is a refusal before the request
@@ -323,6 +332,12 @@
         }
     }
 
+    /// The response to the client, who reads it from now on.
+    fn recorded_response(&self, answer: RecordedAnswer, holder: Reservation) -> Response {
+        self.connection.start_reading(&holder);
+        recorded_response(answer, holder)
+    }
+
     fn plain_request(&self, attempt: &Attempt) -> PlainRequest {
         PlainRequest {
             attempt: attempt.id(),
@@ -435,9 +450,25 @@
     }
 }
 
-fn recorded_response(answer: RecordedAnswer) -> Response {
+/// A recorded body, and its bytes in the memory account.
+struct HeldAnswer {
+    body: Vec<u8>,
+    _holder: Reservation,
+}
+
+impl AsRef<[u8]> for HeldAnswer {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
+
+fn recorded_response(answer: RecordedAnswer, holder: Reservation) -> Response {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
-    let mut response = (status, answer.body).into_response();
+    let body = HeldAnswer {
+        body: answer.body,
+        _holder: holder,
+    };
+    let mut response = (status, Bytes::from_owner(body)).into_response();
     let content_type = answer
         .content_type
         .and_then(|text| HeaderValue::from_str(&text).ok());
--- a/crates/mimosa-entry/src/problem.rs
+++ b/crates/mimosa-entry/src/problem.rs
@@ -79,6 +79,7 @@
         RefusalReason::Timeout => StatusCode::GATEWAY_TIMEOUT,
         RefusalReason::TooLate
         | RefusalReason::QueueFull
+        | RefusalReason::MemoryFull
         | RefusalReason::NoEndpoint
         | RefusalReason::Draining
         | RefusalReason::DataCentreOut
@@ -100,6 +101,7 @@
         RefusalReason::OverRate => "the account is over its rate and burst",
         RefusalReason::TooLate => "the latency target can no longer be met",
         RefusalReason::QueueFull => "the queue of the service is full",
+        RefusalReason::MemoryFull => "this instance has no memory for the request at present",
         RefusalReason::NoEndpoint => "no endpoint can take the request",
         RefusalReason::Draining => "this instance is shutting down",
         RefusalReason::DataCentreOut => "the data centre is taken out",
--- a/crates/mimosa-entry/src/route/completions.rs
+++ b/crates/mimosa-entry/src/route/completions.rs
@@ -4,7 +4,6 @@
 
 use axum::Extension;
 use axum::body::Body;
-use axum::body::Bytes;
 use axum::extract::Request;
 use axum::extract::State;
 use axum::http::HeaderMap;
@@ -14,10 +13,11 @@
 use axum::response::IntoResponse;
 use axum::response::Response;
 use http_body_util::BodyExt;
-use http_body_util::Collected;
-use http_body_util::Limited;
+use hyper::body::Body as _;
 use mimosa_hold::events::EventBuffer;
 use mimosa_hold::quarantine::Fingerprint;
+use mimosa_memory::Refused;
+use mimosa_memory::Reservation as MemoryReservation;
 use mimosa_protocol::EndpointId;
 use mimosa_protocol::Refusal;
 use mimosa_protocol::RefusalReason;
@@ -33,12 +33,17 @@
 
 use crate::access::Caller;
 use crate::access::authorise;
+use crate::access::identify;
 use crate::admission::Reservation;
 use crate::admission::reserve;
 use crate::attempt::Attempt;
 use crate::attempt::AttemptFailure;
 use crate::attempt::may_try_another_data_centre;
 use crate::body;
+use crate::body::MEMORY_FULL;
+use crate::buffer::Buffer;
+use crate::buffer::WhenFull;
+use crate::connection::Connection;
 use crate::engine::EngineFailure;
 use crate::engine::EngineResponse;
 use crate::filter::record::AssignedId;
@@ -54,6 +59,9 @@
 
 /// Maximum size of a response that is collected before the caller receives any of it.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Memory that is reserved for such a response before its request is sent, so that a full account refuses the
+/// request as not run; enough for a thousand tokens. More is reserved once the response arrives.
+const MIN_RESPONSE_BYTES: usize = 4 << 10;
 /// Scheduling weight of anonymous callers.
 const ANONYMOUS_WEIGHT: u32 = 1;
 /// Account under which anonymous callers are queued together.
@@ -121,11 +129,18 @@
     service: Service,
     account: Option<ClientAccount>,
     reservation: Option<Reservation>,
+    connection: Arc<Connection>,
+    /// Memory of the parsed body and of a copy that is sent.
+    _body: MemoryReservation,
+    /// Buffer of a response that is not streamed.
+    response: Option<Buffer>,
 }
 
 async fn respond(context: RequestContext, req: Request) -> Response {
     let result = async {
-        let admitted = admit(context, req.into_body()).await?;
+        let (parts, body) = req.into_parts();
+        let connection = Connection::of_request(&parts.extensions);
+        let admitted = admit(context, connection, body).await?;
         serve(admitted).await
     };
     result
@@ -135,7 +150,11 @@
 
 /// Reads and parses the body, authorises the caller, checks the quarantine and reserves the cost
 /// from the account's rate limit.
-async fn admit(context: RequestContext, body: Body) -> Result<AdmittedRequest, Refusal> {
+async fn admit(
+    context: RequestContext,
+    connection: Arc<Connection>,
+    body: Body,
+) -> Result<AdmittedRequest, Refusal> {
     let RequestContext {
         shared,
         caller,
@@ -143,9 +162,11 @@
         kind,
     } = context;
     let arrived = shared.now();
-    let limits = &shared.settings.limits;
-    let body = body::read(body, limits.body, limits.body_time).await?;
-    let mut model_request = ModelRequest::parse(kind, &body)?;
+    let owner = identify(&shared, &caller)?.map(|account| account.id);
+    let mut body = body::read(&shared, owner, body).await?;
+    let copied = body.reserve_copies(&shared, 1).await;
+    copied.map_err(|Refused| MEMORY_FULL)?;
+    let mut model_request = ModelRequest::parse(kind, body.as_slice())?;
     let current = shared.configuration.load();
     let service = current
         .service(&model_request.service)
@@ -154,14 +175,26 @@
         .ok_or(Refusal::not_run(RefusalReason::NotFound))?;
     let account = authorise(&shared, &caller, &service)?;
     let account_id = account.as_ref().map(|account| &account.id);
-    let whole = Fingerprint::of(account_id, &service.id, &body);
+    let whole = Fingerprint::of(account_id, &service.id, body.as_slice());
     Arc::make_mut(&mut model_request.parts).whole = whole;
     shared.quarantine.check(arrived, &model_request.parts)?;
     let reservation = match &account {
         None => None,
         Some(account) => Some(reserve(&shared, request, account, model_request.cost()).await?),
     };
+    let response = match model_request.stream {
+        true => None,
+        false => {
+            let mut response = new_response_buffer(&connection, account.as_ref());
+            let reserved = response.reserve(&shared, MIN_RESPONSE_BYTES).await;
+            reserved.map_err(|Refused| MEMORY_FULL)?;
+            Some(response.waiting())
+        }
+    };
     Ok(AdmittedRequest {
+        connection,
+        _body: body.into_reservation(),
+        response,
         shared,
         request,
         caller,
@@ -252,6 +285,13 @@
         }
     }
 
+    /// The buffer for the response of the next attempt.
+    fn take_response_buffer(&mut self) -> Buffer {
+        let buffer = self.response.take();
+        let new = || new_response_buffer(&self.connection, self.account.as_ref()).waiting();
+        buffer.unwrap_or_else(new)
+    }
+
     fn request_record(&self, endpoint: &EndpointId) -> RequestRecord {
         RequestRecord {
             metrics: Arc::clone(&self.shared) as Arc<dyn crate::metrics::HasMetrics>,
@@ -354,13 +394,14 @@
 ) -> Result<Response, AttemptFailure> {
     let mut record = admitted.request_record(attempt.endpoint());
     let timeout = admitted.shared.settings.limits.endpoint_silence;
-    let body = Limited::new(engine_response.body, MAX_RESPONSE_BYTES);
-    let collected = tokio::time::timeout(timeout, body.collect()).await;
-    let collected = collected.map(|collected| collected.map(Collected::to_bytes));
-    let failure = match collected {
-        Ok(Ok(bytes)) if is_json_document(&bytes) => {
-            finish(admitted, attempt, &mut record, &bytes);
+    let buffer = admitted.take_response_buffer();
+    let collecting = collect_body(&admitted.shared, buffer, engine_response.body);
+    let failure = match tokio::time::timeout(timeout, collecting).await {
+        Ok(Some(response)) if is_json_document(response.as_slice()) => {
+            finish(admitted, attempt, &mut record, response.as_slice());
             let content_type = content_type(&engine_response.headers, "application/json");
+            admitted.connection.start_reading(response.reservation());
+            let bytes = response.into_bytes(&admitted.shared);
             return Ok(([(CONTENT_TYPE, content_type)], bytes).into_response());
         }
         // A body without a length is whole only if its document is.
@@ -375,13 +416,39 @@
     Err(failed)
 }
 
+/// The whole body; `None` if it is too large or breaks off. While the account is full, it is not read on. Memory
+/// of the declared length is reserved at once, so that responses do not wait for each other with half of it.
+async fn collect_body(shared: &Shared, mut buffer: Buffer, mut body: Body) -> Option<Buffer> {
+    let declared = body.size_hint().exact().unwrap_or(0);
+    if declared > MAX_RESPONSE_BYTES as u64 {
+        return None;
+    }
+    buffer.reserve(shared, declared as usize).await.ok()?;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.ok()?;
+        if let Some(data) = frame.data_ref() {
+            if buffer.len() + data.len() > MAX_RESPONSE_BYTES {
+                return None;
+            }
+            buffer.push(shared, data).await.ok()?;
+        }
+    }
+    Some(buffer)
+}
+
+fn new_response_buffer(connection: &Connection, account: Option<&ClientAccount>) -> Buffer {
+    let owner = account.map(|account| account.id.clone());
+    let holder = connection.response_holder(owner);
+    Buffer::new(holder, MAX_RESPONSE_BYTES, WhenFull::Refuse)
+}
+
 /// Records a complete response. Without a usage report from the engine the account is charged for
 /// the maximum output.
 fn finish(
     admitted: &mut AdmittedRequest,
     attempt: Attempt,
     record: &mut RequestRecord,
-    bytes: &Bytes,
+    bytes: &[u8],
 ) {
     let (output, prompt) = usage_of(bytes);
     let output = output.unwrap_or(admitted.model_request.max_output);
--- a/crates/mimosa-entry/src/route/services.rs
+++ b/crates/mimosa-entry/src/route/services.rs
@@ -13,6 +13,7 @@
 use crate::access::Caller;
 use crate::access::authorise;
 use crate::body;
+use crate::connection::Connection;
 use crate::filter::record::AssignedId;
 use crate::plain;
 use crate::plain::ServiceRequest;
@@ -66,12 +67,14 @@
         .cloned()
         .ok_or(NOT_FOUND)?;
     let account = authorise(&shared, &caller, &service)?;
-    let limits = &shared.settings.limits;
-    let body = body::read(body, limits.body, limits.body_time).await?;
+    let owner = account.as_ref().map(|account| account.id.clone());
+    let body = body::read(&shared, owner, body).await?.into_bytes(&shared);
+    let connection = Connection::of_request(&parts.extensions);
     strip_hop_by_hop_headers(&mut parts.headers);
     let content = plain::request_parts(account.as_ref(), &service.id, &path, &body);
     Ok(ServiceRequest {
         shared,
+        connection,
         caller,
         request: assigned.0,
         arrived,
--- a/crates/mimosa-entry/src/server.rs
+++ b/crates/mimosa-entry/src/server.rs
@@ -22,27 +22,29 @@
 use mimosa_membership::Identity;
 use mimosa_membership::Membership;
 use mimosa_membership::freshness;
+use mimosa_memory::sizes::ProcessLimits;
 use mimosa_protocol::Incarnation;
 use mimosa_protocol::Result;
 use mimosa_transport::accept;
-use mimosa_transport::break_off::ResetFlag;
-use mimosa_transport::break_off::ResetOnError;
-use mimosa_transport::break_off::ResettableStream;
 use mimosa_transport::clock::Clock;
 use mimosa_transport::datagram::ClusterTag;
 use mimosa_transport::datagram::Socket;
+use mimosa_transport::socket;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::configuration_store::ConfigurationStore;
+use crate::connection::Connection;
+use crate::connections::ClientConnections;
 use crate::engine::http::HttpEngineClient;
 use crate::follow;
 use crate::follow::ControlLink;
 use crate::holds::Holds;
+use crate::memory;
+use crate::memory::EntryMemory;
 use crate::metrics::Metrics;
 use crate::peers::beat;
 use crate::peers::network::Network;
@@ -77,23 +79,29 @@
 }
 
 impl EntryServer {
-    /// Starts an entry on the current Tokio runtime. It listens when this returns, and is ready
+    /// Starts an entry on the current Tokio runtime, within the limits of the process. It listens when this returns, and is ready
     /// (`GET /readyz`) once it has a confirmed configuration and the roles of its data centre are
     /// assigned.
     ///
     /// # Errors
     ///
     /// [`Error::Network`](mimosa_protocol::Error::Network) if an address cannot be bound.
-    pub async fn start(instance: InstanceSettings, settings: EntrySettings) -> Result<Running> {
+    pub async fn start(
+        instance: InstanceSettings,
+        limits: ProcessLimits,
+        settings: EntrySettings,
+    ) -> Result<Running> {
         let (listener, address) = accept::bind(settings.listen).await?;
         let (control, ledger_requests) = ControlLink::new();
         let (peer_listener, peer_address, socket) =
             bind_peers(settings.peer_listen, &instance.cluster).await?;
-        let shared = new_shared(instance, settings, control, peer_address);
+        let memory = EntryMemory::new(limits, settings.limits.connections);
+        let shared = new_shared(instance, settings, memory, control, peer_address);
         shared.network.connect_to(&shared.instance.data_centre);
         let background_tasks = vec![
             tokio::spawn(follow::run(Arc::clone(&shared), ledger_requests)),
             tokio::spawn(probe::run(Arc::clone(&shared))),
+            tokio::spawn(memory::watch(Arc::clone(&shared))),
             tokio::spawn(serve::run(peer_listener, Arc::clone(&shared))),
             tokio::spawn(beat::run(socket, peer_address, Arc::clone(&shared))),
         ];
@@ -113,6 +121,7 @@
 fn new_shared(
     instance: InstanceSettings,
     settings: EntrySettings,
+    memory: EntryMemory,
     control: ControlLink,
     peer_address: SocketAddr,
 ) -> Arc<Shared> {
@@ -144,6 +153,8 @@
         freshness: Mutex::new(freshness::Freshness::new(freshness)),
         configuration: ConfigurationStore::default(),
         metrics: Metrics::new(),
+        memory,
+        connections: ClientConnections::default(),
         drain_started: watch::Sender::default(),
         failed_endpoints: Mutex::default(),
         peer_address,
@@ -224,28 +235,25 @@
 }
 
 /// Accepts connections until `stop` is notified, and then drains. While the maximum number of
-/// connections is open, further ones wait in the listener's backlog.
+/// connections is open and none can be closed, further ones wait in the listener's backlog.
 async fn accept(listener: TcpListener, shared: Arc<Shared>, stop: Arc<Notify>) {
     let router = route::router(&shared);
-    let connection_slots = Arc::new(Semaphore::new(shared.settings.limits.connections as usize));
     let graceful = GracefulShutdown::new();
     loop {
-        let slot = Arc::clone(&connection_slots).acquire_owned();
-        let slot = tokio::select! {
-            slot = slot => slot.expect("the semaphore is never closed"),
-            () = stop.notified() => break,
-        };
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = stop.notified() => break,
         };
         match accepted {
             Ok((stream, _)) => {
-                let connection = serve_connection(stream, router.clone(), &shared, &graceful);
-                tokio::spawn(async move {
-                    connection.await;
-                    drop(slot);
-                });
+                let is_stopped = tokio::select! {
+                    () = shared.connections.wait_for_room(&shared) => false,
+                    () = stop.notified() => true,
+                };
+                tokio::spawn(serve_connection(stream, router.clone(), &shared, &graceful));
+                if is_stopped {
+                    break;
+                }
             }
             Err(e) => {
                 log::warn!(
@@ -292,23 +300,30 @@
 fn serve_connection(
     stream: TcpStream,
     router: Router,
-    shared: &Shared,
+    shared: &Arc<Shared>,
     graceful: &GracefulShutdown,
 ) -> impl Future<Output = ()> + use<> {
     let limits = &shared.settings.limits;
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!("cannot set TCP_NODELAY on the connection from a caller: {e}");
     }
-    let reset = ResetFlag::default();
-    let stream = ResettableStream::new(stream, reset.clone());
+    if let Some(bytes) = shared.memory.receive_buffer() {
+        socket::bound_receive_buffer(&stream, bytes);
+    }
+    let tracked = Connection::new(shared);
+    let open = ClientConnections::add(shared, &tracked);
+    let stream = tracked.track(stream);
+    let closing = tracked.closing().clone();
     let router = TowerToHyperService::new(router);
-    let service = service_fn(move |req: Request<Incoming>| {
+    let service = service_fn(move |mut req: Request<Incoming>| {
+        tracked.set_busy();
         let version = req.version();
+        req.extensions_mut().insert(Arc::clone(&tracked));
         let response = router.call(req);
-        let reset = reset.clone();
+        let tracked = Arc::clone(&tracked);
         async move {
             let response = response.await;
-            response.map(|response| response.map(|body| ResetOnError::new(version, body, reset)))
+            response.map(|response| response.map(|body| tracked.track_body(version, body)))
         }
     });
     let connection = http1::Builder::new()
@@ -319,8 +334,16 @@
         .serve_connection(TokioIo::new(stream), service);
     let connection = graceful.watch(connection);
     async move {
-        if let Err(e) = connection.await {
-            log::debug!("connection from a caller failed: {e}");
+        tokio::select! {
+            ended = connection => {
+                if let Err(e) = ended {
+                    log::debug!("connection from a caller failed: {e}");
+                }
+            }
+            () = closing.wait() => {
+                log::debug!("closing the connection of a caller: reason=\"room is needed\"");
+            }
         }
+        drop(open);
     }
 }
--- a/crates/mimosa-entry/tests/callers/fixture.rs
+++ b/crates/mimosa-entry/tests/callers/fixture.rs
@@ -9,6 +9,7 @@
 use mimosa_config::InstanceSettings;
 use mimosa_config::MembershipTimes;
 use mimosa_entry::EntryServer;
+use mimosa_entry::ProcessLimits;
 use mimosa_entry::Running;
 use mimosa_protocol::ByteRate;
 use mimosa_protocol::Change;
@@ -57,6 +58,7 @@
     pub engine: EngineSettings,
     pub limits: EntryLimits,
     pub rate: Option<(TokenRate, Tokens)>,
+    pub process: ProcessLimits,
 }
 
 impl Fixture {
@@ -122,7 +124,7 @@
             },
             ..EntrySettings::default()
         };
-        let entry = EntryServer::start(instance, settings)
+        let entry = EntryServer::start(instance, setup.process, settings)
             .await
             .expect("a free port");
         let fixture = Self {
--- a/crates/mimosa-entry/tests/callers/main.rs
+++ b/crates/mimosa-entry/tests/callers/main.rs
@@ -7,6 +7,7 @@
 mod fixture;
 mod http;
 mod keys;
+mod memory;
 mod misdelivery;
 mod quarantine;
 mod raw;
--- a/crates/mimosa-load/src/system.rs
+++ b/crates/mimosa-load/src/system.rs
@@ -21,6 +21,7 @@
 use mimosa_config::MembershipTimes;
 use mimosa_control::ControlServer;
 use mimosa_entry::EntryServer;
+use mimosa_entry::ProcessLimits;
 use mimosa_protocol::KvBlocks;
 use mimosa_protocol::Tokens;
 use mimosa_protocol::secret::OPERATOR_KEY_PREFIX;
@@ -256,7 +257,7 @@
         },
         ..EntrySettings::default()
     };
-    Ok(EntryServer::start(instance, settings).await?)
+    Ok(EntryServer::start(instance, ProcessLimits::default(), settings).await?)
 }
 
 /// Client of the admin API. Each intent is planned and confirmed, with increasing order numbers.
--- a/crates/mimosa-protocol/src/outcome.rs
+++ b/crates/mimosa-protocol/src/outcome.rs
@@ -63,6 +63,8 @@
         Timeout,
         /// The client cancelled the request or disconnected.
         Cancelled,
+        /// The instance has no memory for the request at present.
+        MemoryFull,
     }
 
     /// The end of a request without a complete answer.
@@ -78,7 +80,7 @@
 
 impl RefusalReason {
     /// All reasons, for metric labels.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::Unauthenticated,
         Self::Forbidden,
         Self::NotFound,
@@ -100,6 +102,7 @@
         Self::EndpointFailed,
         Self::Timeout,
         Self::Cancelled,
+        Self::MemoryFull,
     ];
 
     /// Stable name of the reason, as used in answers and metrics.
@@ -126,6 +129,7 @@
             Self::EndpointFailed => "endpoint_failed",
             Self::Timeout => "timeout",
             Self::Cancelled => "cancelled",
+            Self::MemoryFull => "memory_full",
         }
     }
 }
--- a/src/command/demo.rs
+++ b/src/command/demo.rs
@@ -14,6 +14,7 @@
 use mimosa_config::LogSettings;
 use mimosa_control::ControlServer;
 use mimosa_entry::EntryServer;
+use mimosa_entry::ProcessLimits;
 use mimosa_protocol::DataCentreId;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::secret::Secret;
@@ -158,7 +159,7 @@
         control: vec![control],
         ..EntrySettings::default()
     };
-    Ok(EntryServer::start(instance, settings).await?)
+    Ok(EntryServer::start(instance, ProcessLimits::default(), settings).await?)
 }
 
 /// Sends orders with increasing numbers.
--- a/src/command/entry.rs
+++ b/src/command/entry.rs
@@ -31,7 +31,7 @@
     let entry = settings
         .entry
         .ok_or_else(|| usage_error(COMMAND.name, "the settings file has no [entry] section"))?;
-    let running = EntryServer::start(settings.instance, entry).await?;
+    let running = EntryServer::start(settings.instance, settings.limits.resolve(), entry).await?;
     println!("callers={}", running.address());
     runtime::shutdown_signal().await?;
     running.shutdown().await;
--- a/tests/flood/data_plane.rs
+++ b/tests/flood/data_plane.rs
@@ -23,6 +23,8 @@
 
 const HOST: &str = "shop.example";
 const KEY: &str = "key-orchid";
+/// Limits of the machine that the tests assume.
+const LIMITS: &str = "[limits]\nmemory = \"40MB\"\ndescriptors = 512\n";
 /// A hang of an ordinary request.
 const MAX_RESPONSE_TIME: Duration = Duration::from_secs(60);
 
@@ -85,7 +87,7 @@
     }
 
     pub async fn start_entry() -> Self {
-        let limits = format!("body = {MAX_BODY_BYTES}");
+        let limits = format!("body = {MAX_BODY_BYTES}\n\n{LIMITS}");
         let names = [("a", "north")];
         let mut system = System::start_with_limits(1, &names, &limits).await;
         let mut endpoints = Vec::new();
@@ -229,7 +231,8 @@
 readiness = "127.0.0.1:0"
 seeds = ["127.0.0.1"]
 control_port = {port}
-"#
+
+{LIMITS}"#
     );
     Process::start(&["gateway", &write_settings(folder, "gateway", &text)])
 }
