Test floods of operators and peers against a control instance

Cause: a control instance reads documents of operators (32 MiB) and frames of peers (64 MiB) in full, without accounting across callers, and nothing limits the connections of operators.

Change: tests/flood/control.rs sends 12 times 32 MiB as documents short of their end, whole bad documents, or frames short of their end, or 800 connections with half a head, and checks memory, descriptors and that a proper document is taken during and after the flood. The bounds are those of a machine of 256 MB on which a process takes 11 MB at rest.

--- a/tests/flood/data_plane.rs
+++ b/tests/flood/data_plane.rs
@@ -6,6 +6,7 @@
 use hyper::Method;
 use mimosa_soak::list::EndpointList;
 use mimosa_soak::list::ListEntry;
+use serde_json::Value;
 use serde_json::json;
 use tempfile::TempDir;
 use tokio::time::sleep;
@@ -189,7 +190,13 @@
     }
 }
 
-fn start_control(folder: &TempDir, for_gateways: &str, peers: &str, list: SocketAddr) -> Process {
+/// Starts a control instance for gateways.
+pub fn start_control(
+    folder: &TempDir,
+    for_gateways: &str,
+    peers: &str,
+    list: SocketAddr,
+) -> Process {
     let text = format!(
         r#"
 [instance]
@@ -238,9 +245,21 @@
 }
 
 /// Uploads the routing document, until the control instance has a leader.
-async fn put_document(admin: &str) {
-    let document = json!({
-        "version": 1,
+pub async fn put_document(admin: &str) {
+    let call = Call::new(Method::PUT, "/api/config", &document(1).to_string());
+    for _ in 0..MAX_POLLS {
+        if call.send(admin, "").await.status == 200 {
+            return;
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+    panic!("the control instance does not take the document");
+}
+
+/// A routing document.
+pub fn document(version: u64) -> Value {
+    json!({
+        "version": version,
         "routes": [{
             "name": "stock", "host": HOST, "path_prefix": "/stock/", "kind": "safe",
             "timeout_ms": 60_000, "priority": 1, "service": "desk", "max_attempts": 2,
@@ -249,13 +268,5 @@
         "limits": {"max_header_bytes": 16_384, "max_body_bytes": MAX_BODY_BYTES,
                    "header_timeout_ms": 30_000, "idle_timeout_ms": 30_000},
         "tenants": [{"name": "orchid", "api_keys": [KEY], "rate_per_s": 10_000, "burst": 50_000}],
-    });
-    let call = Call::new(Method::PUT, "/api/config", &document.to_string());
-    for _ in 0..MAX_POLLS {
-        if call.send(admin, "").await.status == 200 {
-            return;
-        }
-        sleep(POLL_INTERVAL).await;
-    }
-    panic!("the control instance does not take the document");
+    })
 }
--- a/tests/flood/main.rs
+++ b/tests/flood/main.rs
@@ -9,6 +9,7 @@
 #[path = "../session/caller.rs"]
 mod caller;
 mod clients;
+mod control;
 mod data_plane;
 mod endpoint;
 #[allow(
