--- a/tests/flood/data_plane.rs
+++ b/tests/flood/data_plane.rs
@@ -6,6 +6,7 @@
 use hyper::Method;
 use mimosa_soak::list::EndpointList;
 use mimosa_soak::list::ListEntry;
+use serde_json::Value;
 use serde_json::json;
 use tempfile::TempDir;
 use tokio::time::sleep;
@@ -23,6 +24,8 @@
 
 const HOST: &str = "shop.example";
 const KEY: &str = "key-orchid";
+/// Limits of the machine that the tests assume.
+const LIMITS: &str = "[limits]\nmemory = \"40MB\"\ndescriptors = 512\n";
 /// A hang of an ordinary request.
 const MAX_RESPONSE_TIME: Duration = Duration::from_secs(60);
 
@@ -85,7 +88,7 @@
     }
 
     pub async fn start_entry() -> Self {
-        let limits = format!("body = {MAX_BODY_BYTES}");
+        let limits = format!("body = {MAX_BODY_BYTES}\n\n{LIMITS}");
         let names = [("a", "north")];
         let mut system = System::start_with_limits(1, &names, &limits).await;
         let mut endpoints = Vec::new();
@@ -187,7 +190,13 @@
     }
 }
 
-fn start_control(folder: &TempDir, for_gateways: &str, peers: &str, list: SocketAddr) -> Process {
+/// Starts a control instance for gateways.
+pub fn start_control(
+    folder: &TempDir,
+    for_gateways: &str,
+    peers: &str,
+    list: SocketAddr,
+) -> Process {
     let text = format!(
         r#"
 [instance]
@@ -224,24 +233,33 @@
 [runtime]
 threads = 1
 
-[limits]
-memory = "40MB"
-descriptors = 512
-
 [gateway]
 listen = "127.0.0.1:0"
 readiness = "127.0.0.1:0"
 seeds = ["127.0.0.1"]
 control_port = {port}
-"#
+
+{LIMITS}"#
     );
     Process::start(&["gateway", &write_settings(folder, "gateway", &text)])
 }
 
 /// Uploads the routing document, until the control instance has a leader.
-async fn put_document(admin: &str) {
-    let document = json!({
-        "version": 1,
+pub async fn put_document(admin: &str) {
+    let call = Call::new(Method::PUT, "/api/config", &document(1).to_string());
+    for _ in 0..MAX_POLLS {
+        if call.send(admin, "").await.status == 200 {
+            return;
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+    panic!("the control instance does not take the document");
+}
+
+/// A routing document.
+pub fn document(version: u64) -> Value {
+    json!({
+        "version": version,
         "routes": [{
             "name": "stock", "host": HOST, "path_prefix": "/stock/", "kind": "safe",
             "timeout_ms": 60_000, "priority": 1, "service": "desk", "max_attempts": 2,
@@ -250,13 +268,5 @@
         "limits": {"max_header_bytes": 16_384, "max_body_bytes": MAX_BODY_BYTES,
                    "header_timeout_ms": 30_000, "idle_timeout_ms": 30_000},
         "tenants": [{"name": "orchid", "api_keys": [KEY], "rate_per_s": 10_000, "burst": 50_000}],
-    });
-    let call = Call::new(Method::PUT, "/api/config", &document.to_string());
-    for _ in 0..MAX_POLLS {
-        if call.send(admin, "").await.status == 200 {
-            return;
-        }
-        sleep(POLL_INTERVAL).await;
-    }
-    panic!("the control instance does not take the document");
+    })
 }
