Check for stalled bytes before eviction candidates are collected

Cause: each refusal of a full account collected all holders of both parts, twice, to find that none can be evicted.

Change: the stalled bytes are summed first, without an allocation.

Result: 10 tests of mimosa-memory pass; the time saved is not measured.

--- a/crates/mimosa-memory/src/account.rs
+++ b/crates/mimosa-memory/src/account.rs
@@ -230,6 +230,9 @@
                 continue;
             }
             let missing = needed - leaving;
+            if self.stalled_bytes(now, pool, id) < missing {
+                continue;
+            }
             let views = self.views(now, Some(pool), Some(id));
             let batch = self.size(pool) / EVICTION_BATCH_DIVISOR;
             let stall_time = self.sizes.stall_time;
@@ -249,6 +252,17 @@
         }
     }
 
+    /// Bytes of the stalled holders of a pool that are not evicted yet, but for `except`. Most refusals
+    /// of a flood end here, without an allocation.
+    fn stalled_bytes(&self, now: Timestamp, pool: Pool, except: HolderId) -> u64 {
+        self.holders
+            .iter()
+            .filter(|(id, each)| each.pool == pool && !each.is_evicted && **id != except)
+            .filter(|(_, each)| each.info.progress.stalled_for(now) >= self.sizes.stall_time)
+            .map(|(_, each)| each.bytes)
+            .sum()
+    }
+
     /// The holders that are not evicted yet, of one pool or both, but for `except`.
     fn views(
         &self,
