Decide changes of pressure in the memory crate

Cause: the gateway decided when its pressure changes, without a test that lines are few.

Change: PressureTracker in mimosa-memory follows the pressure and counts rejections between changes.

--- a/crates/mimosa-gateway/src/memory.rs
+++ b/crates/mimosa-gateway/src/memory.rs
@@ -8,10 +8,11 @@
 use log::log;
 use mimosa_memory::Memory;
 use mimosa_memory::Pressure;
+use mimosa_memory::PressureTracker;
 use mimosa_memory::Usage;
+use mimosa_memory::pressure::PressureChange;
 use mimosa_memory::sizes::ProcessLimits;
 use mimosa_memory::sizes::ProcessSizes;
-use mimosa_protocol::Timestamp;
 use tokio::time::sleep;
 
 use crate::shared::Shared;
@@ -22,9 +23,6 @@
 /// Time without progress after which a body is closed although there is room. A client may pause for
 /// 2 s; the kernel closes connections to vanished clients after 9 s.
 const STALLED_BODY_TIME: Duration = Duration::from_secs(10);
-/// Time after a refusal or an eviction in which the pressure stays full, so that a flood in waves causes
-/// few log lines.
-const REJECTION_MEMORY: Duration = Duration::from_secs(10);
 /// Memory of a client connection: up to 24 KiB of read buffer, and its task. Measured: 16 KiB idle,
 /// 34 KiB with a head of 15 KB (debug build).
 const CONNECTION_BYTES: u64 = 32 << 10;
@@ -82,7 +80,7 @@
         memory.max_connections,
         memory.max_endpoint_connections
     );
-    let mut log = PressureLog::default();
+    let mut tracker = PressureTracker::default();
     let mut before = Usage::default();
     loop {
         sleep(WATCH_INTERVAL).await;
@@ -93,8 +91,10 @@
         let usage = memory.account.usage();
         let open = shared.client_connections.open();
         let closed = shared.client_connections.closed_for_room();
-        log.update(now, &usage, sizes.general, open, closed);
-        shared.metrics.set_memory(&usage, log.pressure, open);
+        if let Some(change) = tracker.update(now, &usage, sizes.general, closed) {
+            log_change(&change, &usage, open);
+        }
+        shared.metrics.set_memory(&usage, tracker.pressure(), open);
         shared.metrics.add_rejections(
             usage.evicted - before.evicted,
             usage.stalled - before.stalled,
@@ -104,49 +104,23 @@
     }
 }
 
-/// The pressure, and the counters when it last changed.
-#[derive(Default)]
-struct PressureLog {
-    pressure: Pressure,
-    last_rejection: Option<Timestamp>,
-    rejections: u64,
-    logged: Usage,
-    logged_closed: u64,
-}
-
-impl PressureLog {
-    /// Evaluates the pressure and logs a change of it. `open` and `closed` count client connections.
-    fn update(&mut self, now: Timestamp, usage: &Usage, size: u64, open: usize, closed: u64) {
-        let rejections = usage.evicted + usage.refused + closed;
-        if rejections > self.rejections {
-            self.last_rejection = Some(now);
-        }
-        self.rejections = rejections;
-        let is_recent = |last| now.since(last) < REJECTION_MEMORY;
-        let has_rejected = self.last_rejection.is_some_and(is_recent);
-        let next = self.pressure.next(usage.general, size, has_rejected);
-        if next == self.pressure {
-            return;
-        }
-        let level = match next {
-            Pressure::Full => Level::Warn,
-            Pressure::Low | Pressure::High => Level::Info,
-        };
-        log!(
-            level,
-            "event=memory_pressure from={} to={next} general={} reserved={} holders={} evicted={} \
-             stalled={} refused={} connections={open} connections_closed={}",
-            self.pressure,
-            usage.general,
-            usage.reserved,
-            usage.holders,
-            usage.evicted - self.logged.evicted,
-            usage.stalled - self.logged.stalled,
-            usage.refused - self.logged.refused,
-            closed - self.logged_closed
-        );
-        self.pressure = next;
-        self.logged = *usage;
-        self.logged_closed = closed;
-    }
+fn log_change(change: &PressureChange, usage: &Usage, connections: usize) {
+    let level = match change.to {
+        Pressure::Full => Level::Warn,
+        Pressure::Low | Pressure::High => Level::Info,
+    };
+    log!(
+        level,
+        "event=memory_pressure from={} to={} general={} reserved={} holders={} evicted={} \
+         stalled={} refused={} connections={connections} connections_closed={}",
+        change.from,
+        change.to,
+        usage.general,
+        usage.reserved,
+        usage.holders,
+        change.evicted,
+        change.stalled,
+        change.refused,
+        change.closed
+    );
 }
--- a/crates/mimosa-memory/src/lib.rs
+++ b/crates/mimosa-memory/src/lib.rs
@@ -23,4 +23,5 @@
 pub use crate::memory::Refused;
 pub use crate::memory::Reservation;
 pub use crate::pressure::Pressure;
+pub use crate::pressure::PressureTracker;
 pub use crate::progress::Progress;
