--- /dev/null
+++ b/crates/mimosa-gateway/src/memory.rs
@@ -0,0 +1,126 @@
+//! The memory account of a gateway: sizes, gauges, and log lines on changes of pressure.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::Level;
+use log::info;
+use log::log;
+use mimosa_memory::Memory;
+use mimosa_memory::Pressure;
+use mimosa_memory::PressureTracker;
+use mimosa_memory::Usage;
+use mimosa_memory::pressure::PressureChange;
+use mimosa_memory::sizes::ProcessLimits;
+use mimosa_memory::sizes::ProcessSizes;
+use tokio::time::sleep;
+
+use crate::shared::Shared;
+
+/// Interval at which stalled bodies are closed and the pressure is evaluated. One timer of the process
+/// replaces one for each body.
+const WATCH_INTERVAL: Duration = Duration::from_secs(1);
+/// Time without progress after which a body is closed although there is room. A client may pause for
+/// 2 s; the kernel closes connections to vanished clients after 9 s.
+const STALLED_BODY_TIME: Duration = Duration::from_secs(10);
+/// Memory of a client connection: up to 24 KiB of read buffer, and its task. Measured: 16 KiB idle,
+/// 34 KiB with a head of 15 KB (debug build).
+const CONNECTION_BYTES: u64 = 32 << 10;
+/// Receive buffer of connections where memory is limited. Linux doubles it.
+const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
+/// Receive buffer of a connection with a large body, of which the account admits few.
+const LARGE_RECEIVE_BUFFER_BYTES: usize = 128 << 10;
+
+/// The memory account and what follows from the limits of the process.
+pub(crate) struct GatewayMemory {
+    pub(crate) account: Memory,
+    limits: ProcessLimits,
+    /// Largest number of client connections.
+    pub(crate) max_connections: usize,
+    /// Largest number of connections to endpoints.
+    pub(crate) max_endpoint_connections: u32,
+}
+
+impl GatewayMemory {
+    pub(crate) fn new(limits: ProcessLimits) -> Self {
+        let sizes = ProcessSizes::of(&limits);
+        Self {
+            account: Memory::new(sizes.account),
+            limits,
+            max_connections: sizes.max_connections(limits.descriptors, CONNECTION_BYTES),
+            max_endpoint_connections: sizes.max_endpoint_connections(limits.descriptors),
+        }
+    }
+
+    /// Whether the settings limit the memory of the process.
+    pub(crate) const fn is_limited(&self) -> bool {
+        self.limits.is_limited
+    }
+
+    /// Receive buffer of new connections; `None` keeps that of the system.
+    pub(crate) fn receive_buffer(&self) -> Option<usize> {
+        self.is_limited().then_some(RECEIVE_BUFFER_BYTES)
+    }
+
+    /// Receive buffer of a connection with a large body; `None` keeps that of the system.
+    pub(crate) fn large_receive_buffer(&self) -> Option<usize> {
+        self.is_limited().then_some(LARGE_RECEIVE_BUFFER_BYTES)
+    }
+}
+
+/// Closes stalled bodies, updates the gauges, and logs changes of pressure.
+pub(crate) async fn watch(shared: Arc<Shared>) {
+    let memory = &shared.memory;
+    let sizes = memory.account.sizes();
+    info!(
+        "event=memory limit={} account={} reserved={} connections={} endpoint_connections={}",
+        memory.limits.memory,
+        sizes.total(),
+        sizes.reserved,
+        memory.max_connections,
+        memory.max_endpoint_connections
+    );
+    let mut tracker = PressureTracker::default();
+    let mut before = Usage::default();
+    loop {
+        sleep(WATCH_INTERVAL).await;
+        let now = shared.now();
+        if memory.is_limited() {
+            memory.account.evict_stalled(now, STALLED_BODY_TIME);
+        }
+        let usage = memory.account.usage();
+        let open = shared.client_connections.open();
+        let closed = shared.client_connections.closed_for_room();
+        if let Some(change) = tracker.update(now, &usage, sizes.general, closed) {
+            log_change(&change, &usage, open);
+        }
+        shared.metrics.set_memory(&usage, tracker.pressure(), open);
+        shared.metrics.add_rejections(
+            usage.evicted - before.evicted,
+            usage.stalled - before.stalled,
+            usage.refused - before.refused,
+        );
+        before = usage;
+    }
+}
+
+fn log_change(change: &PressureChange, usage: &Usage, connections: usize) {
+    let level = match change.to {
+        Pressure::Full => Level::Warn,
+        Pressure::Low | Pressure::High => Level::Info,
+    };
+    log!(
+        level,
+        "event=memory_pressure from={} to={} general={} reserved={} holders={} evicted={} \
+         stalled={} refused={} connections={connections} connections_closed={}",
+        change.from,
+        change.to,
+        usage.general,
+        usage.reserved,
+        usage.holders,
+        change.evicted,
+        change.stalled,
+        change.refused,
+        change.closed
+    );
+}
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -150,6 +150,7 @@
         .filter(|each| each.accepts_requests(now))
         .filter(|each| each.cold().allows_request(now, pacing))
         .filter(|each| each.rate_limit().allows_request(now, shared.senders()))
+        .filter(|each| shared.allows_body(each.held_bodies(), request.body_size()))
         .collect()
 }
 
@@ -256,7 +257,7 @@
     time_limit: Duration,
 ) -> Result<UpstreamResponse, CallFailure> {
     let now = shared.now();
-    let in_flight = InFlightGuard::new(endpoint);
+    let in_flight = InFlightGuard::new(endpoint, request.body_size());
     let versioned = shared.rollouts.track(now, request, endpoint, &step);
     let record = |outcome| {
         if let Some(versioned) = &versioned {
