--- a/crates/mimosa-config/src/limits.rs
+++ b/crates/mimosa-config/src/limits.rs
@@ -64,7 +64,6 @@
 
     /// The limits, completed with those of the machine and the process.
     pub fn resolve(&self) -> ProcessLimits {
-        let soft_limit = descriptor_limit().unwrap_or(ASSUMED_DESCRIPTORS);
         ProcessLimits {
             memory: match self.memory {
                 Some(memory) => memory.0,
@@ -72,8 +71,11 @@
             },
             is_limited: self.memory.is_some(),
             account: self.account.map(|account| account.0),
-            // More descriptors than the process may open do not help.
-            descriptors: self.descriptors.unwrap_or(soft_limit).min(soft_limit),
+            // Where a platform manages the descriptors, the limit that the kernel shows is not in force.
+            descriptors: self
+                .descriptors
+                .or_else(descriptor_limit)
+                .unwrap_or(ASSUMED_DESCRIPTORS),
         }
     }
 }
