Count the memory that a control instance holds for operators, peers and the endpoint list

Cause: documents (32 MiB) and frames (64 MiB) are read in full without accounting across callers, pages of the endpoint list too, and the connections of operators are not bounded.

Change: the buffer that is reserved in the account, the bound of connections and the log lines of the pressure move from the entry to mimosa-transport, for both roles. A body of an operator is read before its request is handled: over the limit by its declared length it is refused unread, without room 503 (memory_full, Retry-After, "ran":"no"), stalled 408. Requests of 1 MiB and more are handled one at a time, as the parsed form of a document is not counted. The document in force is sent without a copy for each reader. Frames over 4 KiB and pages of the list are reserved as they arrive and wait for room.

At an entry: a response that was refused its window is a holder without bytes, which can be closed for others; a connection counts 32 KiB; the read buffers of connections to endpoints are bounded only where [limits] memory is set, so that other deployments accept the same heads of answers as before.

--- a/crates/mimosa-control/src/admin.rs
+++ b/crates/mimosa-control/src/admin.rs
@@ -5,54 +5,52 @@
 //! `unknown` if the operator must resend the same order to learn its outcome.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use axum::Router;
-use axum::body::Body;
 use axum::extract::DefaultBodyLimit;
-use axum::extract::Request;
-use axum::http::StatusCode;
 use axum::middleware;
-use axum::middleware::Next;
-use axum::response::IntoResponse;
-use axum::response::Response;
 use axum::routing::get;
 use axum::routing::post;
-use futures_util::stream;
-use http_body_util::BodyExt;
-use http_body_util::StreamBody;
+use hyper::Request;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
+use hyper::service::Service;
+use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::GracefulShutdown;
 use hyper_util::service::TowerToHyperService;
 use log::debug;
 use log::warn;
+use mimosa_transport::bounded_connections::Closable;
+use mimosa_transport::socket;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::timeout_at;
 
+use crate::admin::body::BodyLimits;
+use crate::admin::connection::OperatorConnection;
 use crate::entry_registry::EntryRegistry;
+use crate::memory::ControlMemory;
 use crate::replicator::Replicator;
 use crate::settings::Settings;
 use crate::shared::SharedState;
 
 pub mod auth;
+pub mod body;
+pub mod connection;
 pub mod orders;
 pub mod problem;
 pub mod reads;
 pub mod secret;
 pub mod view;
 
-const MAX_BODY_BYTES: usize = 256 << 10;
+/// Largest body of a request of this API.
+pub const MAX_BODY_BYTES: usize = 256 << 10;
 /// Time for the head of a request, also after an earlier request on the connection.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
-/// Time for the body of a request.
-const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Delay after a failed accept, for example when the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -70,9 +68,16 @@
 }
 
 /// Serves HTTP until `stopped` becomes true, then finishes running requests. A client that sends its
-/// head or body too slowly loses its connection.
-pub async fn serve(router: Router, listener: TcpListener, mut stopped: watch::Receiver<bool>) {
-    let router = router.layer(middleware::from_fn(limit_body_time));
+/// head or body too slowly loses its connection. `max_body` is the largest body that any route takes.
+pub async fn serve(
+    router: Router,
+    listener: TcpListener,
+    memory: ControlMemory,
+    max_body: usize,
+    mut stopped: watch::Receiver<bool>,
+) {
+    let limits = BodyLimits::new(memory.process.clone(), max_body);
+    let router = router.layer(middleware::from_fn_with_state(limits, body::read));
     let connections = GracefulShutdown::new();
     loop {
         let accepted = tokio::select! {
@@ -81,19 +86,19 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let connection = http1::Builder::new()
-                    .timer(TokioTimer::new())
-                    .header_read_timeout(HEAD_TIMEOUT)
-                    .serve_connection(
-                        TokioIo::new(stream),
-                        TowerToHyperService::new(router.clone()),
-                    );
-                let connection = connections.watch(connection);
-                tokio::spawn(async move {
-                    if let Err(e) = connection.await {
-                        debug!("connection from an operator ended: {e}");
-                    }
-                });
+                let is_stopped = tokio::select! {
+                    () = memory.connections.wait_for_room(&memory.process) => false,
+                    _ = stopped.wait_for(|stopped| *stopped) => true,
+                };
+                if is_stopped {
+                    break;
+                }
+                tokio::spawn(serve_connection(
+                    stream,
+                    router.clone(),
+                    &memory,
+                    &connections,
+                ));
             }
             Err(e) => {
                 warn!("cannot accept a connection from an operator: {e}");
@@ -105,29 +110,47 @@
     connections.shutdown().await;
 }
 
-/// Answers 408 unless the body arrives in time. The size of the body is limited by the handlers.
-async fn limit_body_time(request: Request, next: Next) -> Response {
-    let deadline = Instant::now() + BODY_TIMEOUT;
-    let (head, body) = request.into_parts();
-    let is_late = Arc::new(AtomicBool::new(false));
-    let late = Arc::clone(&is_late);
-    let chunks = stream::unfold(body, move |mut body| {
-        let late = Arc::clone(&late);
+fn serve_connection(
+    stream: TcpStream,
+    router: Router,
+    memory: &ControlMemory,
+    connections: &GracefulShutdown,
+) -> impl Future<Output = ()> + use<> {
+    if let Some(bytes) = memory.receive_buffer() {
+        socket::bound_receive_buffer(&stream, bytes);
+    }
+    let operator = OperatorConnection::new(memory.process.clock);
+    let open = memory
+        .connections
+        .add(Arc::clone(&operator) as Arc<dyn Closable>);
+    let closing = operator.closing().clone();
+    let router = TowerToHyperService::new(router);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let running = operator.start_request();
+        let response = router.call(request);
         async move {
-            match timeout_at(deadline, body.frame()).await {
-                Ok(frame) => frame.map(|frame| (frame.map_err(axum::Error::new), body)),
-                Err(e) => {
-                    late.store(true, Ordering::Relaxed);
-                    Some((Err(axum::Error::new(e)), Body::empty()))
+            let response = response.await;
+            drop(running);
+            response
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    let connection = connections.watch(connection);
+    async move {
+        tokio::select! {
+            ended = connection => {
+                if let Err(e) = ended {
+                    debug!("connection from an operator ended: {e}");
                 }
             }
+            () = closing.wait() => {
+                debug!("closing the connection of an operator: reason=\"room is needed\"");
+            }
         }
-    });
-    let body = Body::new(StreamBody::new(chunks));
-    let response = next.run(Request::from_parts(head, body)).await;
-    match is_late.load(Ordering::Relaxed) {
-        true => StatusCode::REQUEST_TIMEOUT.into_response(),
-        false => response,
+        drop(open);
     }
 }
 
--- a/crates/mimosa-control/src/entry_port.rs
+++ b/crates/mimosa-control/src/entry_port.rs
@@ -13,7 +13,9 @@
 use mimosa_protocol::message::EntryMessage;
 use mimosa_transport::accept;
 use mimosa_transport::frame;
+use mimosa_transport::frame::MAX_FRAME_BYTES;
 use mimosa_transport::frame::MAX_HELLO_BYTES;
+use mimosa_transport::reserved_buffer::ProcessMemory;
 use tokio::io::AsyncWrite;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -61,6 +63,8 @@
     pub max_proof_age: Duration,
     /// The connections of the entries.
     pub connections: Arc<ConnectionOrder>,
+    /// Memory in which frames are accounted while they arrive.
+    pub memory: ProcessMemory,
 }
 
 /// The entry at the other end of a connection.
@@ -92,7 +96,11 @@
     async fn run_session(self, stream: TcpStream, number: ConnectionNumber) -> Result<()> {
         stream.set_nodelay(true).ok();
         let (mut rx, mut tx) = stream.into_split();
-        let Ok(hello) = timeout(HELLO_TIMEOUT, frame::read_at_most(&mut rx, MAX_HELLO_BYTES)).await
+        let Ok(hello) = timeout(
+            HELLO_TIMEOUT,
+            frame::read_reserved(&mut rx, MAX_HELLO_BYTES, &self.memory),
+        )
+        .await
         else {
             return Ok(());
         };
@@ -147,7 +155,7 @@
         answers: mpsc::Sender<ControlMessage>,
     ) -> Result<()> {
         let mut calls = JoinSet::new();
-        while let Some(message) = frame::read(rx).await? {
+        while let Some(message) = frame::read_reserved(rx, MAX_FRAME_BYTES, &self.memory).await? {
             if !self.connections.is_newest(&entry.instance, entry.number) {
                 info!(
                     "closing a connection from {}: it has a newer one",
--- a/crates/mimosa-control/src/lib.rs
+++ b/crates/mimosa-control/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`peer`] is the TCP protocol between control instances.
 //! * [`connection_order`] tells replaced connections from current ones.
 //! * [`entry_registry`] tracks the revision in force at each entry.
+//! * [`memory`] is the memory account.
 //! * [`routing`] serves gateways: request placement, endpoint discovery, quotas.
 
 pub mod admin;
@@ -18,6 +19,7 @@
 pub mod entry_port;
 pub mod entry_registry;
 pub mod freshness;
+pub mod memory;
 pub mod peer;
 pub mod replicator;
 pub mod routing;
@@ -29,3 +31,4 @@
 pub use crate::server::ControlServer;
 pub use crate::server::Running;
 pub use crate::settings::Settings;
+pub use mimosa_memory::sizes::ProcessLimits;
--- a/crates/mimosa-control/src/peer/inbound.rs
+++ b/crates/mimosa-control/src/peer/inbound.rs
@@ -13,7 +13,9 @@
 use mimosa_state::Operation;
 use mimosa_transport::accept;
 use mimosa_transport::frame;
+use mimosa_transport::frame::MAX_FRAME_BYTES;
 use mimosa_transport::frame::MAX_HELLO_BYTES;
+use mimosa_transport::reserved_buffer::ProcessMemory;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::net::TcpListener;
@@ -61,6 +63,8 @@
     pub entry_registry: Arc<EntryRegistry>,
     /// The connections of the other instances.
     pub connections: Arc<ConnectionOrder>,
+    /// Memory in which frames are accounted while they arrive.
+    pub memory: ProcessMemory,
 }
 
 impl Inbound {
@@ -84,7 +88,11 @@
         stream: &mut (impl AsyncRead + AsyncWrite + Unpin),
         number: ConnectionNumber,
     ) -> Result<()> {
-        let Ok(hello) = timeout(HELLO_TIMEOUT, frame::read_at_most(stream, MAX_HELLO_BYTES)).await
+        let Ok(hello) = timeout(
+            HELLO_TIMEOUT,
+            frame::read_reserved(stream, MAX_HELLO_BYTES, &self.memory),
+        )
+        .await
         else {
             return Ok(());
         };
@@ -101,7 +109,9 @@
         }
         self.connections.register(&instance, number);
         let mut calls = JoinSet::new();
-        while let Some(message) = frame::read(stream).await? {
+        while let Some(message) =
+            frame::read_reserved(stream, MAX_FRAME_BYTES, &self.memory).await?
+        {
             if !self.connections.is_newest(&instance, number) {
                 info!("closing a connection from control instance {instance}: it has a newer one");
                 return Ok(());
--- a/crates/mimosa-control/src/routing.rs
+++ b/crates/mimosa-control/src/routing.rs
@@ -19,6 +19,7 @@
 use mimosa_state::CommandResult;
 use mimosa_state::Operation;
 use mimosa_state::routing::AdoptedDocument;
+use mimosa_transport::reserved_buffer::ProcessMemory;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -34,6 +35,9 @@
 pub mod metrics;
 pub mod published;
 
+/// Maximum size of a routing document; fits some hundred thousand routes.
+pub const MAX_DOCUMENT_BYTES: usize = 32 << 20;
+
 /// Time limit for learning which changes precede an order. Operators send an order again, to another
 /// instance, after 1 s without an answer, and may revoke it once that is confirmed; an order that is
 /// placed in the log earlier precedes such changes.
@@ -56,8 +60,12 @@
 
 /// A source of the endpoints of all services.
 pub trait EndpointSource: Send + Sync + 'static {
-    /// Reads the complete list. The caller drops the future after its time limit.
-    fn list(&self) -> BoxFuture<'_, Result<Vec<ListedEndpoint>, ListError>>;
+    /// Reads the complete list, with its pages in the memory account while they arrive. The caller drops the future
+    /// after its time limit.
+    fn list<'a>(
+        &'a self,
+        memory: &'a ProcessMemory,
+    ) -> BoxFuture<'a, Result<Vec<ListedEndpoint>, ListError>>;
 }
 
 /// Why the endpoint list could not be read.
--- a/crates/mimosa-control/src/routing/gateway_port.rs
+++ b/crates/mimosa-control/src/routing/gateway_port.rs
@@ -12,7 +12,9 @@
 use mimosa_route::message::GatewayMessage;
 use mimosa_transport::accept;
 use mimosa_transport::frame;
+use mimosa_transport::frame::MAX_FRAME_BYTES;
 use mimosa_transport::frame::MAX_HELLO_BYTES;
+use mimosa_transport::reserved_buffer::ProcessMemory;
 use mimosa_transport::socket;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -62,6 +64,8 @@
     pub heartbeat: Duration,
     /// The connections of the gateways.
     pub connections: Arc<ConnectionOrder>,
+    /// Memory in which frames are accounted while they arrive.
+    pub memory: ProcessMemory,
 }
 
 impl GatewayPort {
@@ -84,7 +88,7 @@
         socket::configure(&stream);
         let Ok(hello) = timeout(
             HELLO_TIMEOUT,
-            frame::read_at_most(&mut stream, MAX_HELLO_BYTES),
+            frame::read_reserved(&mut stream, MAX_HELLO_BYTES, &self.memory),
         )
         .await
         else {
@@ -113,7 +117,9 @@
         info!("gateway={instance} state=connected");
         let (buckets_tx, requested_buckets) = mpsc::channel(1);
         let read_messages = async {
-            while let Some(message) = frame::read(&mut reader).await? {
+            while let Some(message) =
+                frame::read_reserved(&mut reader, MAX_FRAME_BYTES, &self.memory).await?
+            {
                 match message {
                     GatewayMessage::RequestDocument => {
                         if let Some(document) = self.document()
--- a/crates/mimosa-control/src/routing/listing.rs
+++ b/crates/mimosa-control/src/routing/listing.rs
@@ -6,6 +6,7 @@
 use log::info;
 use log::warn;
 use mimosa_route::EndpointList;
+use mimosa_transport::reserved_buffer::ProcessMemory;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -25,6 +26,7 @@
 /// Reads the list while this instance leads and publishes each change, until the task is aborted.
 pub async fn run(
     source: Arc<dyn EndpointSource>,
+    memory: ProcessMemory,
     replicator: Arc<dyn Replicator>,
     interval: Duration,
     published: watch::Sender<Arc<PublishedList>>,
@@ -41,7 +43,7 @@
             continue;
         }
         last_read = Some((status.term, Instant::now()));
-        let listed = match timeout(READ_TIMEOUT, source.list()).await {
+        let listed = match timeout(READ_TIMEOUT, source.list(&memory)).await {
             Ok(Ok(listed)) => listed,
             Ok(Err(e)) => {
                 if !is_failing {
--- a/crates/mimosa-control/src/server.rs
+++ b/crates/mimosa-control/src/server.rs
@@ -26,6 +26,7 @@
 use crate::entry_port::EntryPort;
 use crate::entry_registry::EntryRegistry;
 use crate::freshness;
+use crate::memory::ControlMemory;
 use crate::peer::PeerMessage;
 use crate::peer::bootstrap;
 use crate::peer::discovery::PeerDiscovery;
@@ -41,6 +42,7 @@
 use crate::replicator::replicated::disk::OpenedReplica;
 use crate::replicator::replicated::disk::StoreOpener;
 use crate::routing::Integration;
+use crate::routing::MAX_DOCUMENT_BYTES;
 use crate::routing::RoutingOrders;
 use crate::routing::balancer::Balancer;
 use crate::routing::dispatch::Dispatcher;
@@ -89,6 +91,7 @@
     discovered_tx: Option<mpsc::UnboundedSender<InstanceId>>,
     dispatcher: Option<Arc<Dispatcher>>,
     metrics: Metrics,
+    memory: ControlMemory,
     tasks: JoinSet<()>,
 }
 
@@ -177,6 +180,7 @@
             warn!("another control instance already belongs to a cluster: joining it");
             self.settings.bootstrap = false;
         }
+        let memory = ControlMemory::new(self.settings.limits);
         let mut assembly = Assembly {
             settings: Arc::new(self.settings),
             shared: Arc::new(SharedState::new(StateMachine::default())),
@@ -184,13 +188,14 @@
             discovered_tx: None,
             dispatcher: None,
             metrics: Metrics::default(),
+            memory,
             tasks: JoinSet::new(),
         };
         let opener = StoreOpener::new(Arc::clone(&assembly.settings), self.store);
         let (opened, opener) = open(opener).await?;
         let replicator = assembly.join_cluster(opened, opener, self.peer)?;
         let (stop, stopped) = watch::channel(false);
-        let router = match integration {
+        let (router, max_body) = match integration {
             Some(integration) => {
                 if let Some(address) = assembly.settings.metrics {
                     let registry = assembly.metrics.registry();
@@ -198,14 +203,17 @@
                     self.addresses.metrics = Some(server.address());
                     assembly.tasks.spawn(server.run());
                 }
-                assembly.serve_gateways(&replicator, self.entry, integration)
+                let router = assembly.serve_gateways(&replicator, self.entry, integration);
+                (router, MAX_DOCUMENT_BYTES)
             }
             None => {
                 assembly.serve_entries(&replicator, self.entry);
-                assembly.admin(&replicator).router()
+                (assembly.admin(&replicator).router(), admin::MAX_BODY_BYTES)
             }
         };
-        let admin = admin::serve(router, self.admin, stopped);
+        let memory = assembly.memory.clone();
+        assembly.tasks.spawn(memory.clone().watch());
+        let admin = admin::serve(router, self.admin, memory, max_body, stopped);
         info!(
             "event=start role=control instance={} operators={}",
             assembly.settings.instance, self.addresses.admin
@@ -271,6 +279,7 @@
             calls: Arc::clone(&calls),
             entry_registry: Arc::clone(&self.entry_registry),
             connections: Arc::default(),
+            memory: self.memory.process.clone(),
         };
         self.tasks.spawn(inbound.serve(listener));
         for link in links {
@@ -302,6 +311,7 @@
             proofs,
             max_proof_age: heartbeat,
             connections: Arc::default(),
+            memory: self.memory.process.clone(),
         };
         self.tasks.spawn(port.serve(listener));
         let entry_registry = Arc::clone(&self.entry_registry);
@@ -322,6 +332,7 @@
         let (published, endpoints) = watch::channel(Arc::default());
         let listing_task = listing::run(
             integration.source,
+            self.memory.process.clone(),
             Arc::clone(replicator),
             integration.list_interval,
             published,
@@ -355,6 +366,7 @@
             endpoints,
             heartbeat: self.settings.heartbeat,
             connections: Arc::default(),
+            memory: self.memory.process.clone(),
         };
         self.tasks.spawn(port.serve(listener));
         integration.operators.router(RoutingOrders {
--- a/crates/mimosa-control/src/settings.rs
+++ b/crates/mimosa-control/src/settings.rs
@@ -10,6 +10,7 @@
 
 use mimosa_consensus::VoterPolicy;
 use mimosa_limit::quota::Tolerance;
+use mimosa_memory::sizes::ProcessLimits;
 use mimosa_protocol::DataCentreId;
 use mimosa_protocol::Incarnation;
 use mimosa_protocol::InstanceId;
@@ -78,6 +79,8 @@
     pub confirm_wait: Duration,
     /// How long a disconnected entry is still listed.
     pub entry_retention: Duration,
+    /// What the process may use.
+    pub limits: ProcessLimits,
 }
 
 /// Settings that a running control instance for gateways can reload.
@@ -144,6 +147,7 @@
         Self {
             instance: "control-1".parse().expect("the name is valid"),
             cluster: "mimosaswitch".to_owned(),
+            limits: ProcessLimits::default(),
             data_centre: None,
             data_folder: PathBuf::from("mimosaswitch-data"),
             admin_listen: any_port,
--- a/crates/mimosa-control/tests/dispatch.rs
+++ b/crates/mimosa-control/tests/dispatch.rs
@@ -48,6 +48,7 @@
 use mimosa_schedule::fleet::RunEnd;
 use mimosa_state::Operation;
 use mimosa_transport::frame;
+use mimosa_transport::reserved_buffer::ProcessMemory;
 use tempfile::TempDir;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -93,7 +94,10 @@
 const ONE_DECODE_ENDPOINT: StaticEndpoints = StaticEndpoints(&["d-1"]);
 
 impl EndpointSource for StaticEndpoints {
-    fn list(&self) -> BoxFuture<'_, std::result::Result<Vec<ListedEndpoint>, ListError>> {
+    fn list<'a>(
+        &'a self,
+        _: &'a ProcessMemory,
+    ) -> BoxFuture<'a, std::result::Result<Vec<ListedEndpoint>, ListError>> {
         let endpoints = self.0.iter().map(|name| ListedEndpoint {
             id: name.parse().unwrap(),
             service: "verse".parse().unwrap(),
--- a/crates/mimosa-entry/src/body.rs
+++ b/crates/mimosa-entry/src/body.rs
@@ -3,15 +3,13 @@
 use axum::body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Body as _;
-use mimosa_memory::EvictionSignal;
-use mimosa_memory::Progress;
 use mimosa_memory::Refused;
 use mimosa_protocol::AccountId;
 use mimosa_protocol::Refusal;
 use mimosa_protocol::RefusalReason;
+use mimosa_transport::reserved_buffer::ReservedBuffer;
+use mimosa_transport::reserved_buffer::WhenFull;
 
-use crate::buffer::Buffer;
-use crate::buffer::WhenFull;
 use crate::shared::Shared;
 
 /// Nothing was sent to an endpoint. A stalled body is evicted within seconds, most others end sooner.
@@ -31,23 +29,18 @@
     shared: &Shared,
     owner: Option<AccountId>,
     body: Body,
-) -> Result<Buffer, Refusal> {
+) -> Result<ReservedBuffer, Refusal> {
     let limits = &shared.settings.limits;
     let max_size = usize::try_from(limits.body.0).unwrap_or(usize::MAX);
     let declared = body.size_hint().exact();
     if declared.is_some_and(|declared| declared > max_size as u64) {
         return Err(TOO_LARGE);
     }
-    let evicted = EvictionSignal::default();
-    let reservation = shared.memory.account.holder(
-        Progress::new(shared.now()),
-        owner,
-        declared.unwrap_or(0),
-        evicted.clone(),
-    );
-    let largest = declared.map_or(max_size, |declared| declared as usize);
-    let mut buffer = Buffer::new(reservation, largest, WhenFull::Refuse);
-    let filling = tokio::time::timeout(limits.body_time, fill(shared, &mut buffer, body, max_size));
+    let declared = declared.map(|declared| declared as usize);
+    let process = &shared.memory.process;
+    let mut buffer = process.buffer(owner, declared, max_size, WhenFull::Refuse);
+    let evicted = buffer.reservation().signal().clone();
+    let filling = tokio::time::timeout(limits.body_time, fill(&mut buffer, body, max_size));
     let filled = tokio::select! {
         biased;
         filled = filling => filled,
@@ -59,12 +52,7 @@
     Ok(buffer)
 }
 
-async fn fill(
-    shared: &Shared,
-    buffer: &mut Buffer,
-    mut body: Body,
-    max_size: usize,
-) -> Result<(), Refusal> {
+async fn fill(buffer: &mut ReservedBuffer, mut body: Body, max_size: usize) -> Result<(), Refusal> {
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Refusal::not_run(RefusalReason::Malformed))?;
         let Some(data) = frame.data_ref() else {
@@ -73,7 +61,7 @@
         if buffer.len() + data.len() > max_size {
             return Err(TOO_LARGE);
         }
-        let pushed = buffer.push(shared, data).await;
+        let pushed = buffer.push(data).await;
         pushed.map_err(|Refused| match buffer.reservation().signal().is_set() {
             true => SLOW_SENDER,
             false => MEMORY_FULL,
--- a/crates/mimosa-entry/src/connection.rs
+++ b/crates/mimosa-entry/src/connection.rs
@@ -30,9 +30,13 @@
 use mimosa_memory::account::Decision;
 use mimosa_protocol::AccountId;
 use mimosa_protocol::Timestamp;
+use mimosa_transport::bounded_connections::Closable;
+use mimosa_transport::bounded_connections::WaitingFor;
 use mimosa_transport::break_off::ResetFlag;
 use mimosa_transport::break_off::ResetOnError;
 use mimosa_transport::break_off::ResettableStream;
+use mimosa_transport::reserved_buffer::ReservedBuffer;
+use mimosa_transport::reserved_buffer::WhenFull;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -77,7 +81,8 @@
     phase: Phase,
     /// Progress of the client as it reads a collected response, whose memory is reserved by its buffer.
     reader: Option<Arc<Progress>>,
-    /// The window of a response whose client reads slowly.
+    /// The window of a response whose client reads slowly; without bytes, but to be evicted for others, if the
+    /// account had no room for it.
     window: Option<Reservation>,
     waker: Option<Waker>,
 }
@@ -105,24 +110,6 @@
         Arc::clone(connection.expect("the server adds the connection to each request"))
     }
 
-    /// Signal that closes the connection, whatever it does.
-    pub(crate) const fn closing(&self) -> &EvictionSignal {
-        &self.closing
-    }
-
-    /// Whether the connection receives a head instead of being idle, and since when; `None` while it handles a
-    /// request or is about to close.
-    pub(crate) fn waiting_since(&self) -> Option<(bool, Timestamp)> {
-        if self.closing.is_set() {
-            return None;
-        }
-        match self.state().phase {
-            Phase::Idle(since) => Some((false, since)),
-            Phase::Head(since) => Some((true, since)),
-            Phase::Busy | Phase::Sending => None,
-        }
-    }
-
     /// Marks the connection as busy; called when a request head is complete.
     pub(crate) fn set_busy(&self) {
         let mut state = self.state();
@@ -135,10 +122,21 @@
     pub(crate) fn response_holder(&self, owner: Option<AccountId>) -> Reservation {
         let progress = Progress::with_grace(self.shared.now(), READER_GRACE);
         progress.stop_waiting();
-        let account = &self.shared.memory.account;
+        let account = &self.shared.memory.process.account;
         account.holder(progress, owner, 0, self.closing.clone())
     }
 
+    /// Like [`Self::response_holder`], with a buffer for the response.
+    pub(crate) fn response_buffer(
+        &self,
+        owner: Option<AccountId>,
+        max_bytes: usize,
+    ) -> ReservedBuffer {
+        let holder = self.response_holder(owner);
+        let clock = self.shared.clock;
+        ReservedBuffer::new(holder, clock, max_bytes, WhenFull::Refuse)
+    }
+
     /// From now on the holder of a response waits for the client to read it.
     pub(crate) fn start_reading(&self, response: &Reservation) {
         response.progress().restart(self.shared.now());
@@ -195,21 +193,20 @@
     /// Reserves the window, as the socket takes no more bytes. A collected response has its own reservation.
     fn reserve_window(&self) {
         let mut state = self.state();
-        if state.window.is_some() || state.reader.is_some() {
+        if state.reader.is_some() {
             return;
         }
         let now = self.shared.now();
-        let progress = Progress::with_grace(now, READER_GRACE);
-        let account = &self.shared.memory.account;
-        let mut window = account.holder(progress, None, WINDOW_BYTES, self.closing.clone());
+        let window = state.window.get_or_insert_with(|| {
+            let progress = Progress::with_grace(now, READER_GRACE);
+            let account = &self.shared.memory.process.account;
+            account.holder(progress, None, WINDOW_BYTES, self.closing.clone())
+        });
         let is_granted = window.try_grow_to(now, WINDOW_BYTES) == Decision::Granted;
         self.is_refused.store(!is_granted, Ordering::Relaxed);
-        if is_granted {
-            state.window = Some(window);
-            self.has_reader.store(true, Ordering::Relaxed);
-            if let Some(waker) = state.waker.take() {
-                waker.wake();
-            }
+        self.has_reader.store(true, Ordering::Relaxed);
+        if is_granted && let Some(waker) = state.waker.take() {
+            waker.wake();
         }
     }
 
@@ -241,6 +238,20 @@
     }
 }
 
+impl Closable for Connection {
+    fn waiting_since(&self) -> Option<(WaitingFor, Timestamp)> {
+        match self.state().phase {
+            Phase::Idle(since) => Some((WaitingFor::Request, since)),
+            Phase::Head(since) => Some((WaitingFor::RestOfHead, since)),
+            Phase::Busy | Phase::Sending => None,
+        }
+    }
+
+    fn closing(&self) -> &EvictionSignal {
+        &self.closing
+    }
+}
+
 /// Response body that marks its connection as idle when dropped.
 pub(crate) struct TrackedBody {
     body: ResetOnError<Body>,
--- a/crates/mimosa-entry/src/engine/http.rs
+++ b/crates/mimosa-entry/src/engine/http.rs
@@ -51,7 +51,7 @@
 /// Timeout for the headers, and again for the body, of a small response: to a cancellation, a load
 /// report or an error.
 const SMALL_RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Maximum size of the read buffer of a connection, and of a response head. The entry holds it for each response
+/// Maximum size of the read buffer of a connection, and of a response head, where memory is limited. The entry holds it for each response
 /// that its client reads slowly.
 const MAX_BUFFER_BYTES: usize = 32 << 10;
 /// Maximum size of such a response, and of that to a prefill.
@@ -99,16 +99,20 @@
 
 impl HttpEngineClient {
     /// `response_timeout` limits the wait for response headers, and for the body of a prefill.
-    pub(crate) fn new(response_timeout: Duration) -> Self {
+    /// `is_memory_limited` bounds the buffers of the connections.
+    pub(crate) fn new(response_timeout: Duration, is_memory_limited: bool) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        let client = Client::builder(TokioExecutor::new())
+        let mut builder = Client::builder(TokioExecutor::new());
+        builder
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_timer(TokioTimer::new())
-            .http1_max_buf_size(MAX_BUFFER_BYTES)
-            .retry_canceled_requests(false)
-            .build(connector);
+            .retry_canceled_requests(false);
+        if is_memory_limited {
+            builder.http1_max_buf_size(MAX_BUFFER_BYTES);
+        }
+        let client = builder.build(connector);
         Self {
             client,
             response_timeout,
--- a/crates/mimosa-entry/src/memory.rs
+++ b/crates/mimosa-entry/src/memory.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mimosa_memory::Memory;
-use mimosa_memory::Pressure;
 use mimosa_memory::Usage;
 use mimosa_memory::sizes::ProcessLimits;
 use mimosa_memory::sizes::ProcessSizes;
+use mimosa_transport::bounded_connections::BoundedConnections;
+use mimosa_transport::clock::Clock;
+use mimosa_transport::pressure_log::PressureLog;
+use mimosa_transport::reserved_buffer::ProcessMemory;
 use tokio::time::sleep;
 
 use crate::shared::Shared;
@@ -18,41 +20,50 @@
 /// Time without progress after which a body is closed although there is room. A client may pause for
 /// 2 s.
 const STALLED_TIME: Duration = Duration::from_secs(10);
-/// Memory of a client connection: its read buffer, its task, and unsent bytes up to 4 KiB.
-const CONNECTION_BYTES: u64 = 16 << 10;
+/// Memory of a client connection: its task, its read buffer with a usual head, and unsent bytes up to 4 KiB.
+const CONNECTION_BYTES: u64 = 32 << 10;
 /// Receive buffer of client connections where memory is limited. Linux doubles it.
 const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
 
 /// The memory account and what follows from the limits of the process.
 pub(crate) struct EntryMemory {
-    pub(crate) account: Memory,
+    pub(crate) process: ProcessMemory,
+    /// The client connections.
+    pub(crate) connections: Arc<BoundedConnections>,
     limits: ProcessLimits,
-    /// Largest number of client connections.
-    pub(crate) max_connections: usize,
+    max_connections: usize,
 }
 
 impl EntryMemory {
     /// `max_connections` is the number that the settings allow.
-    pub(crate) fn new(limits: ProcessLimits, max_connections: u32) -> Self {
+    pub(crate) fn new(limits: ProcessLimits, max_connections: u32, clock: Clock) -> Self {
         let sizes = ProcessSizes::of(&limits);
         let by_limits = sizes.max_connections(limits.descriptors, CONNECTION_BYTES);
+        let max_connections = by_limits.min(max_connections as usize);
         Self {
-            account: Memory::new(sizes.account),
+            process: ProcessMemory::new(sizes.account, clock),
+            connections: BoundedConnections::new(max_connections),
             limits,
-            max_connections: by_limits.min(max_connections as usize),
+            max_connections,
         }
     }
 
+    /// Whether the settings limit the memory of the process.
+    pub(crate) const fn is_limited(&self) -> bool {
+        self.limits.is_limited
+    }
+
     /// Receive buffer of new connections; `None` keeps that of the system.
     pub(crate) fn receive_buffer(&self) -> Option<usize> {
-        self.limits.is_limited.then_some(RECEIVE_BUFFER_BYTES)
+        self.is_limited().then_some(RECEIVE_BUFFER_BYTES)
     }
 }
 
 /// Closes stalled bodies, updates the gauges, and logs changes of pressure.
 pub(crate) async fn watch(shared: Arc<Shared>) {
     let memory = &shared.memory;
-    let sizes = memory.account.sizes();
+    let account = &memory.process.account;
+    let sizes = account.sizes();
     log::info!(
         "event=memory limit={} account={} reserved={} connections={}",
         memory.limits.memory,
@@ -60,43 +71,21 @@
         sizes.reserved,
         memory.max_connections
     );
-    let mut pressure = Pressure::default();
+    let mut log = PressureLog::default();
     let mut before = Usage::default();
-    let mut closed_before = 0;
     loop {
         sleep(WATCH_INTERVAL).await;
-        if memory.limits.is_limited {
-            memory.account.evict_stalled(shared.now(), STALLED_TIME);
+        let now = shared.now();
+        if memory.is_limited() {
+            account.evict_stalled(now, STALLED_TIME);
         }
-        let usage = memory.account.usage();
-        let closed = shared.connections.closed_for_room();
-        let evicted = usage.evicted - before.evicted;
-        let refused = usage.refused - before.refused;
-        let has_rejected = evicted > 0 || refused > 0 || closed > closed_before;
-        let next = pressure.next(usage.general, sizes.general, has_rejected);
+        let usage = account.usage();
+        let pressure = log.update(now, &usage, sizes.general, &memory.connections);
         let metrics = &shared.metrics.memory;
-        metrics.set(&usage, next, shared.connections.open());
-        metrics.add_rejections("evicted", evicted);
+        metrics.set(&usage, pressure, memory.connections.open());
+        metrics.add_rejections("evicted", usage.evicted - before.evicted);
         metrics.add_rejections("stalled", usage.stalled - before.stalled);
-        metrics.add_rejections("refused", refused);
-        if next != pressure {
-            let level = match next {
-                Pressure::Full => log::Level::Warn,
-                Pressure::Low | Pressure::High => log::Level::Info,
-            };
-            log::log!(
-                level,
-                "event=memory_pressure from={pressure} to={next} held={} account={} holders={} \
-                 evicted={evicted} refused={refused} connections={} closed={}",
-                usage.general + usage.reserved,
-                sizes.total(),
-                usage.holders,
-                shared.connections.open(),
-                closed - closed_before
-            );
-        }
-        pressure = next;
+        metrics.add_rejections("refused", usage.refused - before.refused);
         before = usage;
-        closed_before = closed;
     }
 }
--- a/crates/mimosa-entry/src/peers/serve.rs
+++ b/crates/mimosa-entry/src/peers/serve.rs
@@ -7,6 +7,7 @@
 use mimosa_protocol::Result;
 use mimosa_transport::accept;
 use mimosa_transport::frame;
+use mimosa_transport::frame::MAX_FRAME_BYTES;
 use mimosa_transport::frame::MAX_HELLO_BYTES;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -34,7 +35,7 @@
 
 /// Handles the messages of a connection. The first one must be a hello of the same cluster.
 async fn receive_messages(mut stream: TcpStream, shared: &Shared) -> Result<()> {
-    let hello = frame::read_at_most(&mut stream, MAX_HELLO_BYTES);
+    let hello = frame::read_reserved(&mut stream, MAX_HELLO_BYTES, &shared.memory.process);
     let Ok(hello) = timeout(HELLO_TIMEOUT, hello).await else {
         return Ok(());
     };
@@ -51,7 +52,9 @@
         );
         return Ok(());
     }
-    while let Some(message) = frame::read(&mut stream).await? {
+    while let Some(message) =
+        frame::read_reserved(&mut stream, MAX_FRAME_BYTES, &shared.memory.process).await?
+    {
         dispatch(shared, &instance, message);
     }
     Ok(())
--- a/crates/mimosa-entry/src/route/completions.rs
+++ b/crates/mimosa-entry/src/route/completions.rs
@@ -29,6 +29,7 @@
 use mimosa_protocol::configuration::ServiceKind;
 use mimosa_schedule::AttemptEnd;
 use mimosa_schedule::Submission;
+use mimosa_transport::reserved_buffer::ReservedBuffer;
 use serde::de::IgnoredAny;
 
 use crate::access::Caller;
@@ -41,8 +42,6 @@
 use crate::attempt::may_try_another_data_centre;
 use crate::body;
 use crate::body::MEMORY_FULL;
-use crate::buffer::Buffer;
-use crate::buffer::WhenFull;
 use crate::connection::Connection;
 use crate::engine::EngineFailure;
 use crate::engine::EngineResponse;
@@ -132,8 +131,8 @@
     connection: Arc<Connection>,
     /// Memory of the parsed body and of a copy that is sent.
     _body: MemoryReservation,
-    /// Buffer of a response that is not streamed.
-    response: Option<Buffer>,
+    /// ReservedBuffer of a response that is not streamed.
+    response: Option<ReservedBuffer>,
 }
 
 async fn respond(context: RequestContext, req: Request) -> Response {
@@ -164,7 +163,7 @@
     let arrived = shared.now();
     let owner = identify(&shared, &caller)?.map(|account| account.id);
     let mut body = body::read(&shared, owner, body).await?;
-    let copied = body.reserve_copies(&shared, 1).await;
+    let copied = body.reserve_copies(1).await;
     copied.map_err(|Refused| MEMORY_FULL)?;
     let mut model_request = ModelRequest::parse(kind, body.as_slice())?;
     let current = shared.configuration.load();
@@ -186,7 +185,7 @@
         true => None,
         false => {
             let mut response = new_response_buffer(&connection, account.as_ref());
-            let reserved = response.reserve(&shared, MIN_RESPONSE_BYTES).await;
+            let reserved = response.reserve(MIN_RESPONSE_BYTES).await;
             reserved.map_err(|Refused| MEMORY_FULL)?;
             Some(response.waiting())
         }
@@ -286,7 +285,7 @@
     }
 
     /// The buffer for the response of the next attempt.
-    fn take_response_buffer(&mut self) -> Buffer {
+    fn take_response_buffer(&mut self) -> ReservedBuffer {
         let buffer = self.response.take();
         let new = || new_response_buffer(&self.connection, self.account.as_ref()).waiting();
         buffer.unwrap_or_else(new)
@@ -395,13 +394,13 @@
     let mut record = admitted.request_record(attempt.endpoint());
     let timeout = admitted.shared.settings.limits.endpoint_silence;
     let buffer = admitted.take_response_buffer();
-    let collecting = collect_body(&admitted.shared, buffer, engine_response.body);
+    let collecting = collect_body(buffer, engine_response.body);
     let failure = match tokio::time::timeout(timeout, collecting).await {
         Ok(Some(response)) if is_json_document(response.as_slice()) => {
             finish(admitted, attempt, &mut record, response.as_slice());
             let content_type = content_type(&engine_response.headers, "application/json");
             admitted.connection.start_reading(response.reservation());
-            let bytes = response.into_bytes(&admitted.shared);
+            let bytes = response.into_bytes();
             return Ok(([(CONTENT_TYPE, content_type)], bytes).into_response());
         }
         // A body without a length is whole only if its document is.
@@ -418,28 +417,27 @@
 
 /// The whole body; `None` if it is too large or breaks off. While the account is full, it is not read on. Memory
 /// of the declared length is reserved at once, so that responses do not wait for each other with half of it.
-async fn collect_body(shared: &Shared, mut buffer: Buffer, mut body: Body) -> Option<Buffer> {
+async fn collect_body(mut buffer: ReservedBuffer, mut body: Body) -> Option<ReservedBuffer> {
     let declared = body.size_hint().exact().unwrap_or(0);
     if declared > MAX_RESPONSE_BYTES as u64 {
         return None;
     }
-    buffer.reserve(shared, declared as usize).await.ok()?;
+    buffer.reserve(declared as usize).await.ok()?;
     while let Some(frame) = body.frame().await {
         let frame = frame.ok()?;
         if let Some(data) = frame.data_ref() {
             if buffer.len() + data.len() > MAX_RESPONSE_BYTES {
                 return None;
             }
-            buffer.push(shared, data).await.ok()?;
+            buffer.push(data).await.ok()?;
         }
     }
     Some(buffer)
 }
 
-fn new_response_buffer(connection: &Connection, account: Option<&ClientAccount>) -> Buffer {
+fn new_response_buffer(connection: &Connection, account: Option<&ClientAccount>) -> ReservedBuffer {
     let owner = account.map(|account| account.id.clone());
-    let holder = connection.response_holder(owner);
-    Buffer::new(holder, MAX_RESPONSE_BYTES, WhenFull::Refuse)
+    connection.response_buffer(owner, MAX_RESPONSE_BYTES)
 }
 
 /// Records a complete response. Without a usage report from the engine the account is charged for
--- a/crates/mimosa-entry/src/route/services.rs
+++ b/crates/mimosa-entry/src/route/services.rs
@@ -68,7 +68,7 @@
         .ok_or(NOT_FOUND)?;
     let account = authorise(&shared, &caller, &service)?;
     let owner = account.as_ref().map(|account| account.id.clone());
-    let body = body::read(&shared, owner, body).await?.into_bytes(&shared);
+    let body = body::read(&shared, owner, body).await?.into_bytes();
     let connection = Connection::of_request(&parts.extensions);
     strip_hop_by_hop_headers(&mut parts.headers);
     let content = plain::request_parts(account.as_ref(), &service.id, &path, &body);
--- a/crates/mimosa-entry/src/server.rs
+++ b/crates/mimosa-entry/src/server.rs
@@ -26,6 +26,7 @@
 use mimosa_protocol::Incarnation;
 use mimosa_protocol::Result;
 use mimosa_transport::accept;
+use mimosa_transport::bounded_connections::Closable;
 use mimosa_transport::clock::Clock;
 use mimosa_transport::datagram::ClusterTag;
 use mimosa_transport::datagram::Socket;
@@ -38,7 +39,6 @@
 
 use crate::configuration_store::ConfigurationStore;
 use crate::connection::Connection;
-use crate::connections::ClientConnections;
 use crate::engine::http::HttpEngineClient;
 use crate::follow;
 use crate::follow::ControlLink;
@@ -95,7 +95,8 @@
         let (control, ledger_requests) = ControlLink::new();
         let (peer_listener, peer_address, socket) =
             bind_peers(settings.peer_listen, &instance.cluster).await?;
-        let memory = EntryMemory::new(limits, settings.limits.connections);
+        let clock = Clock::start();
+        let memory = EntryMemory::new(limits, settings.limits.connections, clock);
         let shared = new_shared(instance, settings, memory, control, peer_address);
         shared.network.connect_to(&shared.instance.data_centre);
         let background_tasks = vec![
@@ -125,7 +126,7 @@
     control: ControlLink,
     peer_address: SocketAddr,
 ) -> Arc<Shared> {
-    let clock = Clock::start();
+    let clock = memory.process.clock;
     let incarnation = Incarnation(clock.now().as_micros());
     let instance_id = instance.id.clone();
     let data_centre = instance.data_centre.clone();
@@ -149,12 +150,14 @@
         quarantine: QuarantineTracker::new(),
         retry_budgets: RetryBudgets::default(),
         queues: RequestQueues::new(clock, data_centre, Arc::clone(&network)),
-        engine_client: Arc::new(HttpEngineClient::new(settings.limits.endpoint_silence)),
+        engine_client: Arc::new(HttpEngineClient::new(
+            settings.limits.endpoint_silence,
+            memory.is_limited(),
+        )),
         freshness: Mutex::new(freshness::Freshness::new(freshness)),
         configuration: ConfigurationStore::default(),
         metrics: Metrics::new(),
         memory,
-        connections: ClientConnections::default(),
         drain_started: watch::Sender::default(),
         failed_endpoints: Mutex::default(),
         peer_address,
@@ -247,7 +250,7 @@
         match accepted {
             Ok((stream, _)) => {
                 let is_stopped = tokio::select! {
-                    () = shared.connections.wait_for_room(&shared) => false,
+                    () = shared.memory.connections.wait_for_room(&shared.memory.process) => false,
                     () = stop.notified() => true,
                 };
                 tokio::spawn(serve_connection(stream, router.clone(), &shared, &graceful));
@@ -311,7 +314,10 @@
         socket::bound_receive_buffer(&stream, bytes);
     }
     let tracked = Connection::new(shared);
-    let open = ClientConnections::add(shared, &tracked);
+    let open = shared
+        .memory
+        .connections
+        .add(Arc::clone(&tracked) as Arc<dyn Closable>);
     let stream = tracked.track(stream);
     let closing = tracked.closing().clone();
     let router = TowerToHyperService::new(router);
--- a/crates/mimosa-entry/src/shared.rs
+++ b/crates/mimosa-entry/src/shared.rs
@@ -23,7 +23,6 @@
 use tokio::time::sleep_until;
 
 use crate::configuration_store::ConfigurationStore;
-use crate::connections::ClientConnections;
 use crate::engine::EngineClient;
 use crate::follow::ControlLink;
 use crate::holds::Holds;
@@ -58,8 +57,6 @@
     pub(crate) control: ControlLink,
     pub(crate) metrics: Metrics,
     pub(crate) memory: EntryMemory,
-    /// Open connections of clients.
-    pub(crate) connections: ClientConnections,
     /// When the drain started; `None` before.
     pub(crate) drain_started: watch::Sender<Option<Instant>>,
     /// Endpoints that failed an attempt since their last probe.
--- a/crates/mimosa-transport/src/frame.rs
+++ b/crates/mimosa-transport/src/frame.rs
@@ -17,8 +17,12 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWrite;
 use tokio::io::AsyncWriteExt;
+use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
+use crate::reserved_buffer::ProcessMemory;
+use crate::reserved_buffer::WhenFull;
+
 /// Maximum size of an encoded message, without the header of its frame: 64 MiB. It leaves ample room for a complete configuration, the
 /// largest message.
 pub const MAX_FRAME_BYTES: usize = 64 << 20;
@@ -29,6 +33,10 @@
 /// Time limit of a message after its header.
 const BODY_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Largest frame that is not counted in the memory account, but as part of its connection's buffers. Most messages
+/// are smaller, and are read without taking the lock of the account.
+const UNCOUNTED_BYTES: usize = 4 << 10;
+
 const HEADER_BYTES: usize = 8;
 
 /// Encodes a message as one frame.
@@ -98,6 +106,55 @@
     stream: &mut (impl AsyncRead + Unpin),
     max_bytes: usize,
 ) -> Result<Option<T>> {
+    let Some((length, checksum)) = read_header(stream, max_bytes).await? else {
+        return Ok(None);
+    };
+    let body = timeout(BODY_TIMEOUT, read_body(stream, length)).await;
+    decode(&received(body)?, checksum)
+}
+
+/// Like [`read_at_most`], with the frame in the memory account of the process while it arrives. In a full account
+/// it waits for room.
+///
+/// # Errors
+///
+/// Those of [`read_at_most`]; [`Error::Network`] also if the frame stalls and its memory is needed.
+pub async fn read_reserved<T: DeserializeOwned>(
+    stream: &mut (impl AsyncRead + Unpin),
+    max_bytes: usize,
+    memory: &ProcessMemory,
+) -> Result<Option<T>> {
+    let Some((length, checksum)) = read_header(stream, max_bytes).await? else {
+        return Ok(None);
+    };
+    if length <= UNCOUNTED_BYTES {
+        let body = timeout(BODY_TIMEOUT, read_body(stream, length)).await;
+        return decode(&received(body)?, checksum);
+    }
+    let mut buffer = memory.buffer(None, Some(length), length, WhenFull::Wait);
+    let evicted = buffer.reservation().signal().clone();
+    let reading = async {
+        while buffer.len() < length {
+            let left = length - buffer.len();
+            if buffer.read_from(stream, left).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+        Ok(())
+    };
+    let read = tokio::select! {
+        read = timeout(BODY_TIMEOUT, reading) => read,
+        () = evicted.wait() => Ok(Err(io::ErrorKind::TimedOut.into())),
+    };
+    received(read)?;
+    decode(buffer.as_slice(), checksum)
+}
+
+/// Length and checksum of the next frame; `None` if the stream ends before it.
+async fn read_header(
+    stream: &mut (impl AsyncRead + Unpin),
+    max_bytes: usize,
+) -> Result<Option<(usize, u32)>> {
     let mut header = [0; HEADER_BYTES];
     match stream.read_exact(&mut header[..1]).await {
         Ok(_) => {}
@@ -116,16 +173,21 @@
             reason: format!("a message of {length} bytes exceeds the limit of {max_bytes} bytes"),
         });
     }
-    let body = timeout(BODY_TIMEOUT, read_body(stream, length)).await;
-    let body = body
-        .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
-        .map_err(|source| network("read from", source))?;
-    if crc32fast::hash(&body) != checksum {
+    Ok(Some((length, checksum)))
+}
+
+fn received<T>(read: std::result::Result<io::Result<T>, Elapsed>) -> Result<T> {
+    read.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+        .map_err(|source| network("read from", source))
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8], checksum: u32) -> Result<Option<T>> {
+    if crc32fast::hash(body) != checksum {
         return Err(Error::BadMessage {
             reason: "the checksum does not match".into(),
         });
     }
-    postcard::from_bytes(&body).map(Some).map_err(bad_message)
+    postcard::from_bytes(body).map(Some).map_err(bad_message)
 }
 
 /// Reads the body of a frame. Memory grows with the bytes that arrive, not with the announced length.
--- a/crates/mimosa-transport/src/lib.rs
+++ b/crates/mimosa-transport/src/lib.rs
@@ -10,9 +10,12 @@
 
 pub mod accept;
 pub mod backoff;
+pub mod bounded_connections;
 pub mod break_off;
 pub mod clock;
 pub mod datagram;
 pub mod frame;
 pub mod link;
+pub mod pressure_log;
+pub mod reserved_buffer;
 pub mod socket;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -24,7 +24,11 @@
 /// Settings of a control instance. With seeds it discovers the other replicas, keeps enough voters
 /// for the tolerated losses and uses the configured election timeout; without seeds the replicas
 /// are those of the file.
-pub fn control(instance: &InstanceSettings, settings: ControlSettings) -> mimosa_control::Settings {
+pub fn control(
+    instance: &InstanceSettings,
+    limits: &LimitSettings,
+    settings: ControlSettings,
+) -> mimosa_control::Settings {
     let routing = settings.routing.unwrap_or_default();
     let seeds: BTreeSet<InstanceId> = instance_ids(&routing.seeds).collect();
     let has_seeds = !seeds.is_empty();
@@ -49,6 +53,7 @@
         operators: operators
             .map(|operator| (operator.id, operator.key_digest))
             .collect(),
+        limits: limits.resolve(),
         order_lease: routing.order_lease,
         metrics: routing.metrics,
         voter_policy: has_seeds.then(|| VoterPolicy {
--- a/tests/flood/data_plane.rs
+++ b/tests/flood/data_plane.rs
@@ -215,6 +215,10 @@
 found = true
 endpoint_list = "{list}"
 tolerated_losses = 0
+
+[limits]
+memory = "256MB"
+descriptors = 512
 "#,
         folder.path().join("data").display()
     );
