Raise the limits of slowness with the duration of a rollout

Cause: machines that differ and are disturbed give evidence of slowness again and again, so 15 of 20 good versions were rolled back in 60 s at 100 requests/s. Change: the limits rise by half for each doubling of the duration beyond 12 s; 12 s are judged as before.

--- a/crates/mimosa-rollout/src/comparison.rs
+++ b/crates/mimosa-rollout/src/comparison.rs
@@ -30,6 +30,8 @@
 pub const EVALUATION_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval during a move, when there are many responses and little time.
 const MOVE_INTERVAL: Duration = Duration::from_millis(200);
+/// Duration for which the limits of all tests are set.
+const SHORT_ROLLOUT: Duration = Duration::from_secs(12);
 /// Routes with tests of their own; those beyond count in the tests over all routes only.
 const MAX_ROUTES: usize = 64;
 
@@ -49,8 +51,10 @@
 }
 
 /// The comparison of one rollout.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Comparison {
+    /// Factor of the limits of slowness.
+    slow_factor: f64,
     cells: Cells,
     baseline: Baseline,
     /// By route, with `None` for all routes together.
@@ -60,6 +64,21 @@
 }
 
 impl Comparison {
+    /// Starts the comparison of a rollout of this duration. Machines that differ or are disturbed give
+    /// evidence of slowness again and again, so the limits rise with the duration, as do the responses
+    /// that a test may use.
+    pub fn new(duration: Duration) -> Self {
+        let ratio = duration.as_secs_f64() / SHORT_ROLLOUT.as_secs_f64();
+        Self {
+            slow_factor: 1.0 + ratio.max(1.0).log2() / 2.0,
+            cells: Cells::default(),
+            baseline: Baseline::default(),
+            evidence: BTreeMap::new(),
+            last_evaluated: None,
+            finding: None,
+        }
+    }
+
     /// Takes in the cumulative counts of a report.
     pub fn record(
         &mut self,
@@ -96,7 +115,7 @@
             }
         }
         for (route, evidence) in &mut self.evidence {
-            let failed = evidence.finish_interval();
+            let failed = evidence.finish_interval(self.slow_factor);
             if let Some((kind, bad, total, expected)) = failed
                 && self.finding.is_none()
             {
@@ -138,7 +157,8 @@
 
     /// The strongest evidence against the new version, relative to what fails a test.
     pub fn suspicion(&self) -> f64 {
-        let levels = self.evidence.values().map(Evidence::level);
+        let levels = self.evidence.values();
+        let levels = levels.map(|evidence| evidence.level(self.slow_factor));
         levels.fold(0.0, f64::max)
     }
 
--- a/crates/mimosa-rollout/src/comparison/evidence.rs
+++ b/crates/mimosa-rollout/src/comparison/evidence.rs
@@ -77,13 +77,16 @@
 
     /// Adds up the interval. Returns the kind, bad responses, all responses and the expected share of
     /// the first test that fails.
-    pub(super) fn finish_interval(&mut self) -> Option<(TestKind, u64, u64, f64)> {
+    pub(super) fn finish_interval(
+        &mut self,
+        slow_factor: f64,
+    ) -> Option<(TestKind, u64, u64, f64)> {
         let kinds = [TestKind::Failures, TestKind::Refusals];
         let kinds = kinds.into_iter().chain([TestKind::Slow; SLOW_LEVELS]);
         let mut failed = None;
         for (index, (test, kind)) in self.0.iter_mut().zip(kinds).enumerate() {
             test.finish_interval(INTERVAL_LIMITS[index]);
-            if test.sum >= LIMITS[index] && failed.is_none() {
+            if test.sum >= limit(index, slow_factor) && failed.is_none() {
                 failed = Some((kind, test.bad, test.total, test.expected));
             }
         }
@@ -91,14 +94,19 @@
     }
 
     /// The strongest evidence relative to its limit.
-    pub(super) fn level(&self) -> f64 {
-        let levels = self.0.iter().zip(LIMITS);
-        levels
-            .map(|(test, limit)| test.sum / limit)
-            .fold(0.0, f64::max)
+    pub(super) fn level(&self, slow_factor: f64) -> f64 {
+        let tests = self.0.iter().enumerate();
+        let levels = tests.map(|(index, test)| test.sum / limit(index, slow_factor));
+        levels.fold(0.0, f64::max)
     }
 }
 
+/// The limit of a test, with a factor for those of slowness.
+fn limit(index: usize, slow_factor: f64) -> f64 {
+    let is_slow = index >= TESTS - SLOW_LEVELS;
+    LIMITS[index] * if is_slow { slow_factor } else { 1.0 }
+}
+
 impl Test {
     /// Adds responses. `usual` is the old version's rate, and a bad version has at least `least`.
     fn add(&mut self, bad: u64, total: u64, usual: f64, least: f64) {
--- a/crates/mimosa-rollout/src/trial.rs
+++ b/crates/mimosa-rollout/src/trial.rs
@@ -139,7 +139,7 @@
             phase: start.phase,
             schedule: Schedule::new(now, start.elapsed, start.duration, start.is_model),
             account,
-            comparison: Comparison::default(),
+            comparison: Comparison::new(start.duration),
             endpoints: EndpointCounts::default(),
             gateways: HashMap::new(),
             proposed: None,
