Keep the environment of a daemon as it was started

Cause: a daemon with [limits] memory restarted itself under its process id to set GLIBC_TUNABLES. Platforms refuse variables that a runtime reads and the start of processes, and the restart worked round that. Change: no restart; the thresholds of the allocator hold as they are.

--- a/src/command.rs
+++ b/src/command.rs
@@ -8,7 +8,6 @@
 use lexopt::ValueExt;
 use mimosa_protocol::Error;
 
-use crate::allocator;
 use crate::logging;
 use crate::reload::SettingsFile;
 
@@ -152,9 +151,6 @@
 /// Loads a settings file and starts logging with its settings.
 fn load_settings(file: &str) -> miette::Result<SettingsFile> {
     let file = SettingsFile::load(Path::new(file))?;
-    if file.settings().limits.memory.is_some() {
-        allocator::fix_thresholds();
-    }
     logging::start(&file.settings().log)?;
     Ok(file)
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,7 +2,6 @@
 
 use std::process::ExitCode;
 
-mod allocator;
 mod command;
 mod logging;
 mod reload;
