Settings that enable endpoint speeds, fair shares and overflow

Change: [platform] contracts and [features] in the settings file, translated by mimosa_platform::contracts and handed to gateways and control instances as mimosa_protocol::Features. A contract that the program does not know enables nothing.

Measured: the tests of mimosa-config, the platform's golden files (unchanged) and the command-line tests pass.

--- a/crates/mimosa-config/src/lib.rs
+++ b/crates/mimosa-config/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod control;
 mod entry;
+mod features;
 mod gateway;
 mod instance;
 mod logging;
@@ -19,6 +20,7 @@
 pub use crate::entry::EntrySettings;
 pub use crate::entry::MembershipTimes;
 pub use crate::entry::Peer;
+pub use crate::features::PlatformSettings;
 pub use crate::gateway::GatewaySettings;
 pub use crate::instance::InstanceSettings;
 pub use crate::logging::LogLevel;
--- a/crates/mimosa-config/src/settings.rs
+++ b/crates/mimosa-config/src/settings.rs
@@ -4,11 +4,14 @@
 use std::path::Path;
 
 use mimosa_protocol::Error;
+use mimosa_protocol::Features;
 use mimosa_protocol::Result;
 use toml::de::DeTable;
 
 use crate::control::ControlSettings;
 use crate::entry::EntrySettings;
+use crate::features;
+use crate::features::PlatformSettings;
 use crate::gateway::GatewaySettings;
 use crate::instance::InstanceSettings;
 use crate::logging::LogSettings;
@@ -25,6 +28,11 @@
     pub runtime: RuntimeSettings,
     /// How much is logged; defaults if the table is missing.
     pub log: LogSettings,
+    /// What the platform states about the deployment; empty if the table is missing.
+    pub platform: PlatformSettings,
+    /// Features enabled in addition to those of the platform's contracts; none if the table is
+    /// missing.
+    pub features: Features,
     /// Settings of the entry role, if the process has it.
     pub entry: Option<EntrySettings>,
     /// Settings of the control role, if the process has it.
@@ -113,6 +121,12 @@
     let log = root
         .table("log", faults)
         .map(|reader| LogSettings::read(reader, faults));
+    let platform = root
+        .table("platform", faults)
+        .map(|reader| PlatformSettings::read(reader, faults));
+    let features = root
+        .table("features", faults)
+        .map(|reader| features::read(reader, faults));
     let entry = root
         .table("entry", faults)
         .map(|reader| EntrySettings::read(reader, faults));
@@ -131,6 +145,8 @@
         instance: instance?,
         runtime: runtime.unwrap_or_default(),
         log: log.unwrap_or_default(),
+        platform: platform.unwrap_or_default(),
+        features: features.unwrap_or_default(),
         entry,
         control: control.flatten(),
         gateway,
--- a/crates/mimosa-config/tests/check.rs
+++ b/crates/mimosa-config/tests/check.rs
@@ -7,6 +7,7 @@
 use miette::GraphicalTheme;
 use mimosa_config::LogLevel;
 use mimosa_config::Settings;
+use mimosa_protocol::Features;
 
 const VALID: &str = r#"
 [instance]
@@ -81,3 +82,31 @@
 fn a_syntax_error_is_reported() {
     insta::assert_snapshot!(report("[instance\nid = \"a\"\n"));
 }
+
+#[googletest::test]
+fn features_are_disabled_unless_a_file_enables_them() {
+    let settings = parse(VALID).unwrap();
+    expect_that!(settings.features, eq(Features::default()));
+    expect_that!(settings.platform.contracts, is_empty());
+
+    let enabled = format!(
+        "{VALID}\n[platform]\ncontracts = [\"pressure\"]\n[features]\nfair_shares = true\n"
+    );
+    let settings = parse(&enabled).unwrap();
+    let fair_shares = Features {
+        fair_shares: true,
+        ..Features::default()
+    };
+    expect_that!(settings.features, eq(fair_shares));
+    expect_that!(settings.platform.contracts, elements_are![eq("pressure")]);
+}
+
+/// A misspelt feature must not be disabled without a message.
+#[googletest::test]
+fn an_unknown_feature_is_a_fault() {
+    let misspelt = format!("{VALID}\n[features]\nendpoint_speed = true\n");
+    expect_that!(
+        report(&misspelt),
+        contains_substring("did you mean 'endpoint_speeds'?")
+    );
+}
--- a/crates/mimosa-control/src/settings.rs
+++ b/crates/mimosa-control/src/settings.rs
@@ -11,6 +11,7 @@
 use mimosa_consensus::VoterPolicy;
 use mimosa_limit::quota::Tolerance;
 use mimosa_protocol::DataCentreId;
+use mimosa_protocol::Features;
 use mimosa_protocol::Incarnation;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::OperatorId;
@@ -59,6 +60,8 @@
     pub voter_policy: Option<VoterPolicy>,
     /// How far gateway accounts may exceed their quotas.
     pub quota_tolerance: Tolerance,
+    /// Features that are enabled.
+    pub features: Features,
     /// Time without a message of the leader after which a follower starts an election.
     pub election_timeout: Duration,
     /// Interval of the leader's heartbeats to the other control instances.
@@ -157,6 +160,7 @@
             metrics: None,
             voter_policy: None,
             quota_tolerance: Tolerance::default(),
+            features: Features::default(),
             election_timeout: Duration::from_millis(1_000),
             replica_heartbeat: Duration::from_millis(100),
             snapshot_after: 4_096,
--- a/crates/mimosa-gateway/src/settings.rs
+++ b/crates/mimosa-gateway/src/settings.rs
@@ -6,6 +6,7 @@
 
 use mimosa_hold::retry::RetrySettings;
 use mimosa_protocol::DataCentreId;
+use mimosa_protocol::Features;
 use mimosa_protocol::InstanceId;
 
 /// Settings of a gateway instance.
@@ -26,6 +27,8 @@
     pub metrics: Option<SocketAddr>,
     /// Port on which control instances accept gateway connections.
     pub control_port: u16,
+    /// Features that are enabled.
+    pub features: Features,
     /// Settings that can change while the gateway runs.
     pub reloadable: Reloadable,
 }
--- a/crates/mimosa-protocol/src/lib.rs
+++ b/crates/mimosa-protocol/src/lib.rs
@@ -4,6 +4,7 @@
 //! * [`configuration`] is the configuration that operators change and every entry replicates.
 //! * [`change`] defines the changes to it.
 //! * [`message`] defines the messages between the processes of a cluster.
+//! * [`features`] names the features that a deployment can enable.
 //! * [`outcome`] defines how a request can fail.
 //! * [`error`] defines the error type of all crates, with diagnostics.
 
@@ -13,6 +14,7 @@
 pub mod change;
 pub mod configuration;
 pub mod error;
+pub mod features;
 pub mod hash;
 pub mod id;
 pub mod message;
@@ -25,6 +27,7 @@
 pub use crate::configuration::Configuration;
 pub use crate::error::Error;
 pub use crate::error::Result;
+pub use crate::features::Features;
 pub use crate::id::AccountId;
 pub use crate::id::DataCentreId;
 pub use crate::id::EndpointId;
--- a/src/command/control.rs
+++ b/src/command/control.rs
@@ -70,13 +70,14 @@
 
 async fn serve(file: SettingsFile, found: bool) -> miette::Result<ExitCode> {
     let signals = Signals::register()?;
+    let features = settings::features(file.settings());
     let Settings {
         instance, control, ..
     } = file.settings().clone();
     let control = control
         .ok_or_else(|| usage_error(COMMAND.name, "the settings file has no [control] section"))?;
     let platform_services = control.routing.as_ref().map(platform_services);
-    let mut control = settings::control(&instance, control);
+    let mut control = settings::control(&instance, control, features);
     control.bootstrap |= found;
     let running = match platform_services {
         Some(platform_services) => {
--- a/src/command/demo/gateway.rs
+++ b/src/command/demo/gateway.rs
@@ -80,6 +80,7 @@
             readiness: any_loopback_port(),
             metrics: Some(any_loopback_port()),
             control_port: control.entry_address().port(),
+            features: mimosa_protocol::Features::default(),
             reloadable: Reloadable {
                 seeds: BTreeSet::from([control_id]),
                 ..Reloadable::default()
--- a/src/command/gateway.rs
+++ b/src/command/gateway.rs
@@ -36,12 +36,13 @@
 
 async fn serve(file: SettingsFile) -> miette::Result<ExitCode> {
     let signals = Signals::register()?;
+    let features = settings::features(file.settings());
     let Settings {
         instance, gateway, ..
     } = file.settings().clone();
     let gateway = gateway
         .ok_or_else(|| usage_error(COMMAND.name, "the settings file has no [gateway] section"))?;
-    let gateway = settings::gateway(&instance, gateway);
+    let gateway = settings::gateway(&instance, gateway, features);
     let dialect = Arc::new(PlatformHeaders);
     let running = Gateway::start(gateway, dialect, Arc::new(PlatformDocument)).await?;
     println!("callers={}", running.address());
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -8,10 +8,13 @@
 use mimosa_config::ControlSettings;
 use mimosa_config::GatewaySettings;
 use mimosa_config::InstanceSettings;
+use mimosa_config::Settings;
 use mimosa_consensus::VoterPolicy;
 use mimosa_control::settings::Discovery;
 use mimosa_gateway::settings::RetryLimits;
 use mimosa_limit::quota::Tolerance;
+use mimosa_platform::contracts;
+use mimosa_protocol::Features;
 use mimosa_protocol::InstanceId;
 
 /// A voter that is silent for this long is replaced by another control instance: longer than an
@@ -20,10 +23,19 @@
 /// A control instance without a vote that is silent for this long is removed from the replicas.
 const REMOVE_LEARNER_AFTER: Duration = Duration::from_secs(20);
 
+/// The features that the file enables: those of the platform's contracts and those of `[features]`.
+pub fn features(settings: &Settings) -> Features {
+    contracts::features(&settings.platform.contracts).union(settings.features)
+}
+
 /// Settings of a control instance. With seeds it discovers the other replicas, keeps enough voters
 /// for the tolerated losses and uses the configured election timeout; without seeds the replicas
 /// are those of the file.
-pub fn control(instance: &InstanceSettings, settings: ControlSettings) -> mimosa_control::Settings {
+pub fn control(
+    instance: &InstanceSettings,
+    settings: ControlSettings,
+    features: Features,
+) -> mimosa_control::Settings {
     let routing = settings.routing.unwrap_or_default();
     let seeds: BTreeSet<InstanceId> = instance_ids(&routing.seeds).collect();
     let has_seeds = !seeds.is_empty();
@@ -56,6 +68,7 @@
             remove_learner_after: REMOVE_LEARNER_AFTER,
         }),
         quota_tolerance: quota_tolerance(&routing),
+        features,
         election_timeout: if has_seeds {
             routing.election_timeout
         } else {
@@ -80,7 +93,11 @@
 }
 
 /// Settings of a gateway, with those that it can reload.
-pub fn gateway(instance: &InstanceSettings, settings: GatewaySettings) -> mimosa_gateway::Settings {
+pub fn gateway(
+    instance: &InstanceSettings,
+    settings: GatewaySettings,
+    features: Features,
+) -> mimosa_gateway::Settings {
     mimosa_gateway::Settings {
         instance: instance.id.clone(),
         cluster: instance.cluster.clone(),
@@ -89,6 +106,7 @@
         readiness: settings.readiness,
         metrics: settings.metrics,
         control_port: settings.control_port,
+        features,
         reloadable: gateway_reloadable(&settings),
     }
 }
