Estimate the speed of endpoints, and compare ways to use it

Cause: one latency average per gateway is too old (a gateway sees about one response per endpoint and second) and has no notion of how many requests an endpoint handles well.

Change: mimosa_schedule::speed, a table of decaying, mergeable sums for each endpoint; the selection of one of two drawn endpoints; and the example speed_replay, which compares the alternatives in virtual time. Nothing uses it yet.

--- a/crates/mimosa-schedule/src/lib.rs
+++ b/crates/mimosa-schedule/src/lib.rs
@@ -7,7 +7,8 @@
 //! service, holds them until they end, and runs the granted attempts.
 //!
 //! [`fleet`] is another scheduler, which places the requests of all gateways at endpoints of all data
-//! centres. [`pick`] and [`health`] serve gateways that select endpoints without a scheduler.
+//! centres. [`pick`] and [`health`] serve gateways that select endpoints without a scheduler. [`speed`]
+//! serves both: it learns how fast each endpoint is.
 //!
 //! A driver passes in all events, executes the returned actions, sends [`Event::Tick`] at the time
 //! that the policy requests, and validates each grant with a [`GrantFence`] before an attempt
@@ -132,6 +133,7 @@
 pub mod rate_limit;
 pub mod scheduler;
 pub mod settings;
+pub mod speed;
 pub mod succession;
 
 pub use crate::action::Action;
--- /dev/null
+++ b/crates/mimosa-schedule/src/speed/select.rs
@@ -0,0 +1,138 @@
+//! Selection of an endpoint by its speed, from the knowledge of one gateway.
+//!
+//! Two endpoints are drawn by the load that they handle well, and the one with the lower expected
+//! duration is selected. Many gateways decide by the same estimates, which are more than a second
+//! old, so the draw keeps them from all selecting the same endpoint.
+
+use super::SpeedEstimate;
+use super::WHOLE_PERMILLE;
+use crate::pick::Candidate;
+
+/// An endpoint that may be selected, with what is known of its speed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RatedCandidate {
+    /// Load, failures and place of the endpoint.
+    pub candidate: Candidate,
+    /// Speed of the endpoint.
+    pub estimate: SpeedEstimate,
+    /// Duration of work at this moment in thousandths of the usual duration at the endpoint.
+    pub current_permille: u32,
+}
+
+/// Cost of an endpoint at a failure rate of 100%, in multiples added to its normal cost.
+const FAILURE_WEIGHT: f64 = 8.0;
+/// Weight of an endpoint in another data centre relative to a local one. A local endpoint that is
+/// loaded until its work takes twice as long is weighted like an idle remote one.
+const REMOTE_WEIGHT: f64 = 0.25;
+/// Cost of an endpoint in another data centre relative to a local one.
+const REMOTE_COST: f64 = 1.15;
+/// Least weight relative to the highest one. An endpoint that appears slow or failing still gets some
+/// requests, so that a change for the better is noticed.
+const MIN_WEIGHT: f64 = 0.02;
+
+/// Two endpoints drawn for a request, by their indices. `second` is `None` if there is only one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DrawnEndpoints {
+    /// Endpoint that is selected unless the other one is known to be better.
+    pub first: usize,
+    /// The other endpoint.
+    pub second: Option<usize>,
+}
+
+/// Draws two endpoints by the load that they handle well; `None` without candidates. Endpoints marked
+/// as last resort are drawn only if there is no other. `random` is uniformly distributed.
+pub fn draw(candidates: &[RatedCandidate], random: u64) -> Option<DrawnEndpoints> {
+    let has_regular = candidates.iter().any(|each| !each.candidate.last_resort);
+    let usable: Vec<usize> = (0..candidates.len())
+        .filter(|index| !has_regular || !candidates[*index].candidate.last_resort)
+        .collect();
+    let weights: Vec<f64> = usable.iter().map(|at| weight(&candidates[*at])).collect();
+    let least = weights.iter().copied().fold(0.0, f64::max) * MIN_WEIGHT;
+    let mut weights: Vec<f64> = weights.into_iter().map(|each| each.max(least)).collect();
+    let (high, low) = ((random >> 32) as u32, random as u32);
+    let first = draw_index(&weights, high)?;
+    weights[first] = 0.0;
+    Some(DrawnEndpoints {
+        first: usable[first],
+        second: draw_index(&weights, low).map(|second| usable[second]),
+    })
+}
+
+/// Selects one of the drawn endpoints. Without recent knowledge of the load of both, that is the first
+/// one: estimates alone are too old to tell which is better at this moment.
+pub fn select(candidates: &[RatedCandidate], drawn: DrawnEndpoints) -> usize {
+    let first = &candidates[drawn.first];
+    let Some(second) = drawn.second else {
+        return drawn.first;
+    };
+    let is_known = |each: &RatedCandidate| each.candidate.reported_load.is_some();
+    let other = &candidates[second];
+    if is_known(first) && is_known(other) && cost(other) < cost(first) {
+        second
+    } else {
+        drawn.first
+    }
+}
+
+/// Draws an index by weight; `None` if all weights are 0.
+fn draw_index(weights: &[f64], random: u32) -> Option<usize> {
+    let sum: f64 = weights.iter().sum();
+    if sum <= 0.0 {
+        return None;
+    }
+    let mut left = f64::from(random) / (f64::from(u32::MAX) + 1.0) * sum;
+    let mut last = None;
+    for (index, weight) in weights.iter().enumerate().filter(|(_, each)| **each > 0.0) {
+        last = Some(index);
+        if left < *weight {
+            break;
+        }
+        left -= weight;
+    }
+    last
+}
+
+/// Load that the endpoint handles well, reduced while it has more.
+fn weight(each: &RatedCandidate) -> f64 {
+    let rate = concurrency(each) / f64::from(each.estimate.time_permille.max(1));
+    let place = if each.candidate.is_local {
+        1.0
+    } else {
+        REMOTE_WEIGHT
+    };
+    rate * place / failure_factor(each)
+}
+
+/// Expected duration of one more request, relative to the service's mean, increased for failures and
+/// distance.
+fn cost(each: &RatedCandidate) -> f64 {
+    let Candidate {
+        own_load,
+        reported_load,
+        is_local,
+        ..
+    } = each.candidate;
+    let load = own_load.max(reported_load.unwrap_or(0)) as f64;
+    let usual_load = f64::from(each.estimate.load_permille) / f64::from(WHOLE_PERMILLE);
+    let load = match reported_load {
+        Some(_) => load,
+        None => load.max(usual_load),
+    };
+    let place = if is_local { 1.0 } else { REMOTE_COST };
+    f64::from(each.estimate.time_permille)
+        * f64::from(each.current_permille)
+        * (1.0 + (load + 1.0) / concurrency(each))
+        * place
+        * failure_factor(each)
+}
+
+/// Requests at which the duration of work has doubled, at most as many as run concurrently.
+fn concurrency(each: &RatedCandidate) -> f64 {
+    let slots = u32::try_from(each.candidate.concurrency.max(1)).unwrap_or(u32::MAX);
+    let learned = each.estimate.concurrency.unwrap_or(slots);
+    f64::from(learned.clamp(1, slots))
+}
+
+fn failure_factor(each: &RatedCandidate) -> f64 {
+    1.0 + each.candidate.failure_permille as f64 / f64::from(WHOLE_PERMILLE) * FAILURE_WEIGHT
+}
