Place requests for models by the speed of each endpoint

Cause: the fleet scheduler assumed one prefill rate and one token time for a service, so slow engines got as many prompts as fast ones and were believed to end sooner than they did; a prompt that took longer than expected did not keep the next one away.

Change: with endpoint_speeds, prefill times and token times by endpoint (the latter by the number of running requests), learned from outcomes; an endpoint with an overdue prompt counts as busy; decode memory costs the time for which it is held, and more near the limit. Role changes use the mean rate of each pool. Without the feature nothing changes.

--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -16,6 +16,7 @@
 use mimosa_limit::quota::Tolerance;
 use mimosa_protocol::AccountId;
 use mimosa_protocol::EndpointId;
+use mimosa_protocol::Features;
 use mimosa_protocol::Incarnation;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::ServiceId;
@@ -101,6 +102,13 @@
         }
     }
 
+    /// Enables features. Takes effect for schedulers that are created afterwards.
+    #[must_use]
+    pub fn with_features(self, features: Features) -> Self {
+        self.lock().features = features;
+        self
+    }
+
     /// Runs the schedulers at the times they request, until the task is aborted.
     pub async fn run(self: Arc<Self>) {
         loop {
@@ -172,12 +180,13 @@
 
     /// A role change that would increase the served requests; `None` while another one is pending.
     pub fn recommend_role_change(&self) -> Option<RoleChange> {
+        let now = self.now();
         let inner = self.lock();
         if !inner.role_changes.is_empty() {
             return None;
         }
         inner.fleets.iter().find_map(|(service, fleet)| {
-            let role = recommend_role(fleet.pools(), fleet.demand()?)?;
+            let role = recommend_role(fleet.pools(), fleet.demand(now)?)?;
             let current_role = match role {
                 EndpointRole::Decode => EndpointRole::Prefill,
                 _ => EndpointRole::Decode,
--- a/crates/mimosa-control/src/routing/dispatch/inner.rs
+++ b/crates/mimosa-control/src/routing/dispatch/inner.rs
@@ -17,6 +17,7 @@
 use mimosa_protocol::AccountId;
 use mimosa_protocol::DataCentreId;
 use mimosa_protocol::EndpointId;
+use mimosa_protocol::Features;
 use mimosa_protocol::Incarnation;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::ServiceId;
@@ -54,6 +55,7 @@
 #[derive(Default)]
 pub(super) struct Inner {
     pub(super) metrics: Metrics,
+    pub(super) features: Features,
     pub(super) leads: bool,
     pub(super) lead_since: Timestamp,
     /// When the state of the schedulers was last logged.
@@ -219,10 +221,14 @@
 
     pub(super) fn handle(&mut self, now: Timestamp, service: &ServiceId, event: Event) {
         let wait_until = self.lead_since + TAKEOVER_DELAY;
+        let settings = Settings {
+            endpoint_speeds: self.features.endpoint_speeds,
+            ..Settings::default()
+        };
         let fleet = self
             .fleets
             .entry(service.clone())
-            .or_insert_with(|| FleetScheduler::new(Settings::default(), wait_until));
+            .or_insert_with(|| FleetScheduler::new(settings, wait_until));
         let actions = fleet.handle(now, event);
         self.execute(now, actions);
     }
--- a/crates/mimosa-control/src/server.rs
+++ b/crates/mimosa-control/src/server.rs
@@ -327,14 +327,15 @@
             published,
         );
         self.tasks.spawn(listing_task);
-        let dispatcher = Arc::new(Dispatcher::new(
+        let dispatcher = Dispatcher::new(
             Arc::clone(replicator),
             Arc::clone(&self.shared),
             Arc::clone(&integration.format),
             endpoints.clone(),
             self.settings.quota_tolerance,
             self.metrics.clone(),
-        ));
+        );
+        let dispatcher = Arc::new(dispatcher.with_features(self.settings.features));
         self.dispatcher = Some(Arc::clone(&dispatcher));
         self.tasks.spawn(Arc::clone(&dispatcher).run());
         let balancer = Balancer {
--- a/crates/mimosa-schedule/examples/speed_replay.rs
+++ b/crates/mimosa-schedule/examples/speed_replay.rs
@@ -12,11 +12,15 @@
 
 #[path = "speed_replay/endpoint.rs"]
 mod endpoint;
+#[path = "speed_replay/model.rs"]
+mod model;
 #[path = "speed_replay/policy.rs"]
 mod policy;
 
 use crate::endpoint::Endpoint;
 use crate::endpoint::Job;
+use crate::model::Knowledge;
+use crate::model::Outcome;
 use crate::policy::Alone;
 use crate::policy::Answer;
 use crate::policy::Equal;
@@ -131,6 +135,7 @@
 }
 
 fn main() {
+    print_model();
     let kinds = [
         ("present selection", 0),
         ("equal shares", 1),
@@ -172,6 +177,44 @@
     }
 }
 
+fn print_model() {
+    println!("35 engines of a model behind the fleet scheduler, first output within 900 ms");
+    println!(
+        "| requests/s | knowledge | in time | worst second | refused | preempted | p50 ms | p99 ms |"
+    );
+    println!("|---|---|---|---|---|---|---|---|");
+    let kinds = [
+        ("service", Knowledge::Service),
+        ("outcomes", Knowledge::Outcomes),
+        ("outcomes and stated", Knowledge::OutcomesAndStated),
+    ];
+    for rate in [60.0, 75.0, 90.0] {
+        for (name, knowledge) in kinds {
+            let mut outcome = Outcome::default();
+            for seed in 1..=4 {
+                model::run(knowledge, rate, seed, &mut outcome);
+            }
+            outcome.waits_ms.sort_by(f64::total_cmp);
+            let waits = &outcome.waits_ms;
+            let at = |share: f64| waits[(waits.len() as f64 * share) as usize];
+            let submitted = f64::from(outcome.submitted);
+            let seconds = outcome.by_second.iter();
+            let worst = seconds
+                .map(|(in_time, all)| f64::from(*in_time) / f64::from(*all))
+                .fold(1.0, f64::min);
+            println!(
+                "| {rate} | {name} | {:.2}% | {:.0}% | {:.2}% | {} | {:.0} | {:.0} |",
+                f64::from(outcome.in_time) * 100.0 / submitted,
+                worst * 100.0,
+                f64::from(outcome.refused) * 100.0 / submitted,
+                outcome.preempted,
+                at(0.5),
+                at(0.99),
+            );
+        }
+    }
+}
+
 fn print_row(name: &str, mut score: Score) {
     score.durations_ms.sort_by(f64::total_cmp);
     let at = |share: f64| score.durations_ms[(score.durations_ms.len() as f64 * share) as usize];
--- a/crates/mimosa-schedule/examples/speed_replay/endpoint.rs
+++ b/crates/mimosa-schedule/examples/speed_replay/endpoint.rs
@@ -17,31 +17,74 @@
     pub work_left: f64,
 }
 
+/// Speed of a machine: a factor of its own, and episodes in which other workloads use it.
+pub struct Noise {
+    factor: f64,
+    episode_end_ms: f64,
+    next_episode_ms: f64,
+    current: f64,
+    stated: f64,
+    pending: Option<(f64, f64)>,
+}
+
+impl Noise {
+    pub fn new(factor: f64, random: f64) -> Self {
+        Self {
+            factor,
+            episode_end_ms: 0.0,
+            next_episode_ms: random * EPISODE_INTERVAL_MS,
+            current: factor,
+            stated: factor,
+            pending: None,
+        }
+    }
+
+    /// How many times as long work takes now.
+    pub fn factor(&mut self, now_ms: f64, random: impl FnOnce() -> f64) -> f64 {
+        if now_ms >= self.next_episode_ms {
+            self.episode_end_ms = now_ms + EPISODE_MS;
+            let pause = EPISODE_INTERVAL_MS - EPISODE_MS;
+            self.next_episode_ms = now_ms + EPISODE_MS - (1.0 - random()).ln() * pause;
+        }
+        let is_slow = now_ms < self.episode_end_ms;
+        let current = self.factor * if is_slow { EPISODE_FACTOR } else { 1.0 };
+        if current != self.current {
+            self.current = current;
+            self.pending = Some((now_ms + PERCENT_DELAY_MS, current));
+        }
+        if let Some((_, stated)) = self.pending.take_if(|(at, _)| now_ms >= *at) {
+            self.stated = stated;
+        }
+        current
+    }
+
+    pub fn current(&self) -> f64 {
+        self.current
+    }
+
+    /// How long work takes in percent, as the machine states it.
+    pub fn percent(&self) -> u16 {
+        (self.stated * 100.0) as u16
+    }
+}
+
 /// Requests share the machine: beyond `knee` running ones each takes longer.
 pub struct Endpoint {
-    factor: f64,
+    noise: Noise,
     slots: usize,
     knee: f64,
     running: Vec<Job>,
     waiting: VecDeque<Job>,
-    episode_end_ms: f64,
-    next_episode_ms: f64,
-    stated_factor: f64,
-    pending_factor: Option<(f64, f64)>,
 }
 
 impl Endpoint {
     pub fn new(factor: f64, slots: usize, knee: f64, random: f64) -> Self {
         Self {
-            factor,
+            noise: Noise::new(factor, random),
             slots,
             knee,
             running: Vec::new(),
             waiting: VecDeque::new(),
-            episode_end_ms: 0.0,
-            next_episode_ms: random * EPISODE_INTERVAL_MS,
-            stated_factor: 1.0,
-            pending_factor: None,
         }
     }
 
@@ -57,36 +100,21 @@
         self.waiting.len() as u32
     }
 
-    /// How long work takes at this moment, in percent.
     pub fn percent(&self) -> u16 {
-        (self.factor * self.stated_factor * 100.0) as u16
+        self.noise.percent()
     }
 
     /// Works for `step_ms` and returns the jobs that were completed.
     pub fn work(&mut self, now_ms: f64, step_ms: f64, random: impl FnOnce() -> f64) -> Vec<Job> {
-        if now_ms >= self.next_episode_ms {
-            self.episode_end_ms = now_ms + EPISODE_MS;
-            self.pending_factor = Some((now_ms + PERCENT_DELAY_MS, EPISODE_FACTOR));
-            let pause = EPISODE_INTERVAL_MS - EPISODE_MS;
-            let gap = EPISODE_MS - (1.0 - random()).ln() * pause;
-            self.next_episode_ms = now_ms + gap;
-        }
-        let is_slow = now_ms < self.episode_end_ms;
-        if !is_slow && self.stated_factor > 1.0 && self.pending_factor.is_none() {
-            self.pending_factor = Some((now_ms + PERCENT_DELAY_MS, 1.0));
-        }
-        if let Some((_, factor)) = self.pending_factor.take_if(|(at, _)| now_ms >= *at) {
-            self.stated_factor = factor;
-        }
+        let factor = self.noise.factor(now_ms, random);
         while self.running.len() < self.slots
             && let Some(job) = self.waiting.pop_front()
         {
             self.running.push(job);
         }
-        let noise = if is_slow { EPISODE_FACTOR } else { 1.0 };
         let share = (self.knee / self.running.len().max(1) as f64).min(1.0);
         for job in &mut self.running {
-            job.work_left -= step_ms * share / (self.factor * noise);
+            job.work_left -= step_ms * share / factor;
         }
         let (done, running) = self.running.iter().partition(|job| job.work_left <= 0.0);
         self.running = running;
--- a/crates/mimosa-schedule/src/fleet.rs
+++ b/crates/mimosa-schedule/src/fleet.rs
@@ -33,6 +33,7 @@
 mod placing;
 mod queue;
 mod settings;
+mod speeds;
 
 pub use self::message::Action;
 pub use self::message::Event;
@@ -50,6 +51,7 @@
 use self::estimates::EngineEstimates;
 use self::forecast::MemoryLoad;
 use self::queue::QueuedRequest;
+use self::speeds::EndpointSpeeds;
 
 /// Longest time after which clients are told to retry when all endpoints are limited. Limits change as
 /// endpoints recover.
@@ -72,6 +74,8 @@
     queue: Vec<QueuedRequest>,
     runs: BTreeMap<GatewayRequestId, Run>,
     estimates: EngineEstimates,
+    /// Speeds of single endpoints; `None` if all are assumed to be equally fast.
+    speeds: Option<EndpointSpeeds>,
     /// Whether the endpoints are known. Requests are queued before that.
     is_configured: bool,
     tries: u64,
@@ -97,6 +101,7 @@
                 settings.initial_prefill_rate,
                 settings.initial_token_time,
             ),
+            speeds: settings.endpoint_speeds.then(EndpointSpeeds::default),
             settings,
             view: View::default(),
             endpoints: BTreeMap::new(),
@@ -121,8 +126,9 @@
     }
 
     /// Resources used by an average request; `None` before enough requests have completed.
-    pub fn demand(&self) -> Option<Demand> {
-        self.estimates.demand(self.view.memory)
+    pub fn demand(&self, now: Timestamp) -> Option<Demand> {
+        let demand = self.estimates.demand(self.view.memory)?;
+        Some(self.demand_at_endpoints(now, demand))
     }
 
     /// Number of endpoints of each role in the current view.
@@ -196,6 +202,7 @@
                     endpoint.limit(now, max_rate);
                 }
             }
+            Event::Stated { endpoint, percent } => self.on_stated(now, &endpoint, percent),
             Event::Tick => {}
         }
         self.dispatch(now, &mut actions);
@@ -242,6 +249,9 @@
             known.data_centre = Some(each.data_centre.clone());
             known.cold.set_until(now, each.cold_until);
         }
+        if let Some(speeds) = &mut self.speeds {
+            speeds.retain(|id| self.endpoints.contains_key(id));
+        }
         self.view = view;
         self.is_configured = true;
     }
@@ -306,6 +316,10 @@
             let is_measurable = endpoint.finish_prefill(now, id, latency);
             endpoint.record_success();
             if is_measurable {
+                if let Some(speeds) = &mut self.speeds {
+                    let expected = self.estimates.prefill_time(run.request.prompt) + latency;
+                    speeds.record_prefill(now, prefill, expected, took);
+                }
                 self.estimates.record_prefill(run.request.prompt, took);
             }
         }
@@ -350,6 +364,10 @@
                 let took = now.since(load.decode_start);
                 self.estimates
                     .record_completion(&run.request, *output, took);
+                if let Some(speeds) = &mut self.speeds {
+                    let running = endpoint.loads.len() + 1;
+                    speeds.record_decode(now, &run.placement.decode, running, *output, took);
+                }
             }
             (RunEnd::NoCapacity, _) => {
                 endpoint.no_capacity_until = now + self.settings.no_capacity_backoff
@@ -515,9 +533,15 @@
 
     /// Expected end times of the running requests in ascending order.
     fn expected_ends(&self, now: Timestamp) -> Vec<Timestamp> {
-        let loads = self.endpoints.values().flat_map(|each| each.loads.values());
-        let mut expected_ends: Vec<_> = loads
-            .map(|load| load.end(now, self.estimates.token_time()))
+        let mut expected_ends: Vec<_> = self
+            .endpoints
+            .iter()
+            .filter(|(_, each)| !each.loads.is_empty())
+            .flat_map(|(id, each)| {
+                let token_time = self.token_time_at(now, id, each.loads.len());
+                let loads = each.loads.values();
+                loads.map(move |load| load.end(now, token_time))
+            })
             .collect();
         expected_ends.sort_unstable();
         expected_ends
--- a/crates/mimosa-schedule/src/fleet/endpoint.rs
+++ b/crates/mimosa-schedule/src/fleet/endpoint.rs
@@ -96,6 +96,13 @@
         self.last_processing_end().unwrap_or(now)
     }
 
+    /// Time by which the response to the first pending prompt is late, `latency` after the prompt was
+    /// expected to be processed.
+    pub(super) fn overdue(&self, now: Timestamp, latency: Duration) -> Duration {
+        let first = self.processing_ends().min();
+        first.map_or(Duration::ZERO, |at| now.since(at + latency))
+    }
+
     fn processing_ends(&self) -> impl Iterator<Item = Timestamp> {
         self.prefills.values().map(|each| each.processed_at)
     }
--- a/crates/mimosa-schedule/src/fleet/message.rs
+++ b/crates/mimosa-schedule/src/fleet/message.rs
@@ -154,6 +154,13 @@
         /// Highest rate of placements there; `None` if they are not limited.
         max_rate: Option<RequestRate>,
     },
+    /// An endpoint stated how long work takes there at this moment.
+    Stated {
+        /// Endpoint that stated it; an unknown one is ignored.
+        endpoint: EndpointId,
+        /// Duration of work in percent of the usual one.
+        percent: u16,
+    },
     /// Timer event, requested through `next_wake`.
     Tick,
 }
@@ -165,6 +172,7 @@
             Self::Configure(_) | Self::Prefilled { .. } | Self::Ended { .. } => true,
             Self::GatewayLost { .. } => true,
             Self::Submit(_) | Self::Adopt(_) | Self::Started { .. } | Self::Tick => false,
+            Self::Stated { .. } => false,
             Self::Limited { max_rate, .. } => max_rate.is_none(),
         }
     }
--- a/crates/mimosa-schedule/src/fleet/placing.rs
+++ b/crates/mimosa-schedule/src/fleet/placing.rs
@@ -40,12 +40,15 @@
                 decode,
             });
         }
-        let prefill_time = self.estimates.prefill_time(request.prompt);
+        let prefill_time = |id| self.prefill_time_at(now, id, request.prompt);
         let has_prefill_pool = self.endpoints.values().any(FleetEndpoint::is_prefill);
         let prefill = self
             .free_prefills(now)
             .filter(|(id, ..)| !self.avoids(request, id))
-            .min_by_key(|(_, each, free_at)| (!each.is_in(&request.data_centre), *free_at));
+            .min_by_key(|(id, each, free_at)| {
+                let end = self.prefill_start(now, *free_at) + prefill_time(id);
+                (!each.is_in(&request.data_centre), end)
+            });
         if has_prefill_pool && prefill.is_none() {
             if self.prefill_pool_meets_target(now, index, queued) {
                 return None;
@@ -55,6 +58,10 @@
         let prefill_start = prefill
             .as_ref()
             .map_or(now, |(.., free_at)| (*free_at).max(now));
+        let prefill_time = match &prefill {
+            Some((id, ..)) => prefill_time(id),
+            None => self.estimates.prefill_time(request.prompt),
+        };
         let prefill_end = prefill_start + prefill_time + self.estimates.prefill_latency();
         let decode_start = prefill_end + self.settings.first_output_time;
         let load = self.estimates.memory_load(request, decode_start);
@@ -80,7 +87,7 @@
         let usable = self.endpoints.values().filter(|each| each.is_prefill());
         let free_at: Vec<Timestamp> = usable
             .filter(|each| each.accepts_work(now, pacing))
-            .map(|each| each.free_at(now).max(now))
+            .map(|each| self.prefill_free_at(now, each).max(now))
             .collect();
         let Some(first_free) = free_at.iter().min() else {
             return false;
@@ -131,7 +138,7 @@
         self.endpoints
             .iter()
             .filter(move |(_, each)| each.is_prefill() && each.accepts_work(now, pacing))
-            .map(move |(id, each)| (id, each, each.free_at(now)))
+            .map(move |(id, each)| (id, each, self.prefill_free_at(now, each)))
             .filter(move |(.., free_at)| *free_at <= limit)
     }
 
@@ -163,13 +170,15 @@
         is_suitable: impl Fn(&FleetEndpoint) -> bool,
     ) -> Option<EndpointId> {
         let memory = self.view.memory.0 * self.settings.max_fill_permille / 1_000;
-        let token_time = self.estimates.token_time();
         // A KV cache transfer between data centres takes twice as long and costs more.
         let distance_cost = |each: &FleetEndpoint| {
             let is_local =
                 cache_data_centre.is_some_and(|cache_data_centre| each.is_in(cache_data_centre));
             if is_local { 0 } else { load.prompt.0 }
         };
+        let cost = |memory: u64, id: &EndpointId, each: &FleetEndpoint| {
+            self.decode_cost(now, id, each.loads.len() + 1, memory + distance_cost(each))
+        };
         let accepts_work = |each: &FleetEndpoint| {
             let pacing = self.view.cold_pacing;
             each.is_decode() && each.accepts_work(now, pacing) && now >= each.no_capacity_until
@@ -181,8 +190,10 @@
             .filter(|(_, each)| is_suitable(each))
             .filter(|(_, each)| each.loads.len() < self.view.slots as usize)
             .map(|(id, each)| {
+                let running = each.loads.len() + 1;
+                let token_time = self.token_time_at(now, id, running);
                 let current = forecast::current_memory(now, each.loads.values(), token_time);
-                (current + distance_cost(each), id, each)
+                (cost(current, id, each), id, each)
             })
             .collect();
         let max_forecasts = self.settings.max_forecasts;
@@ -194,8 +205,9 @@
             .iter()
             .filter_map(|(_, id, each)| {
                 let loads = each.loads.values();
+                let token_time = self.token_time_at(now, id, each.loads.len() + 1);
                 let peak = forecast::peak_within(now, loads, load, token_time, memory)?;
-                Some((peak + distance_cost(each), *id))
+                Some((cost(peak, id, each), *id))
             })
             .min()
             .map(|(_, id)| id.clone())
@@ -211,7 +223,7 @@
         let request = queued.request;
         let id = request.id.clone();
         let (prompt_endpoint, prefill_time) = match &placement.prefill {
-            Some(prefill) => (prefill, self.estimates.prefill_time(request.prompt)),
+            Some(prefill) => (prefill, self.prefill_time_at(now, prefill, request.prompt)),
             None => (&placement.decode, self.decode_prefill_time(&request)),
         };
         let mut prefill_end = now;
--- a/crates/mimosa-schedule/src/fleet/settings.rs
+++ b/crates/mimosa-schedule/src/fleet/settings.rs
@@ -74,6 +74,8 @@
     /// Maximum time for which a decode endpoint processes a prompt, in thousandths of the longest
     /// pause that callers accept, because the outputs there pause in the meantime.
     pub prompt_pause_permille: u32,
+    /// Whether the speed of each endpoint is learned and used.
+    pub endpoint_speeds: bool,
     /// Backoff after an endpoint reported that it had no capacity.
     pub no_capacity_backoff: Duration,
 }
@@ -92,6 +94,7 @@
             initial_token_time: Duration::from_micros(700),
             decode_prefill_factor: 2,
             prompt_pause_permille: 650,
+            endpoint_speeds: false,
             no_capacity_backoff: Duration::from_millis(300),
         }
     }
--- /dev/null
+++ b/crates/mimosa-schedule/src/fleet/speeds.rs
@@ -0,0 +1,207 @@
+//! Speeds of the endpoints of a model, as the fleet scheduler uses them.
+//!
+//! Without [`Settings::endpoint_speeds`](super::Settings::endpoint_speeds), all endpoints of a role
+//! are assumed to be equally fast.
+
+use std::time::Duration;
+
+use mimosa_protocol::EndpointId;
+use mimosa_protocol::Timestamp;
+use mimosa_protocol::Tokens;
+
+use super::FleetScheduler;
+use super::endpoint::FleetEndpoint;
+use crate::balance::Demand;
+use crate::speed::SpeedTable;
+use crate::speed::WorkSums;
+
+const WHOLE_PERMILLE: u32 = 1_000;
+/// Least share of the memory that counts as free in the cost of an endpoint.
+const MIN_ROOM: f64 = 0.02;
+
+/// Speeds of prefill and decode, which are separate kinds of work.
+#[derive(Debug, Default)]
+pub(super) struct EndpointSpeeds {
+    /// Durations of prefills in thousandths of those that the service's average endpoint needs.
+    prefill: SpeedTable,
+    /// Times per output token in nanoseconds, by the number of running requests.
+    decode: SpeedTable,
+}
+
+impl EndpointSpeeds {
+    /// Records the duration of a prefill that did not wait for another one.
+    pub(super) fn record_prefill(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        expected: Duration,
+        took: Duration,
+    ) {
+        let permille = took.as_micros() * u128::from(WHOLE_PERMILLE) / expected.as_micros().max(1);
+        let permille = u64::try_from(permille).unwrap_or(u64::MAX);
+        // Bounds the effect of a single wrong measurement.
+        let sums = WorkSums::one(1, permille.clamp(100, 10_000));
+        self.prefill.record(now, endpoint, &sums);
+    }
+
+    /// Records the duration of a complete output, at whose end `running` requests ran.
+    pub(super) fn record_decode(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        running: usize,
+        output: Tokens,
+        took: Duration,
+    ) {
+        /// Output below which the latency of the network dominates.
+        const MIN_OUTPUT_TOKENS: u64 = 16;
+        if output.0 < MIN_OUTPUT_TOKENS {
+            return;
+        }
+        let nanos = took.as_nanos() / u128::from(output.0);
+        let nanos = u64::try_from(nanos).unwrap_or(u64::MAX);
+        self.decode
+            .record(now, endpoint, &WorkSums::one(running as u64, nanos.max(1)));
+    }
+
+    /// Removes the endpoints for which `keeps` returns false.
+    pub(super) fn retain(&mut self, keeps: impl Fn(&EndpointId) -> bool) {
+        self.prefill.retain(&keeps);
+        self.decode.retain(&keeps);
+    }
+
+    /// Duration of a prefill at an endpoint relative to the service's average.
+    fn prefill_ratio(&self, now: Timestamp, endpoint: &EndpointId) -> f64 {
+        let permille = self.prefill.expected_work(now, endpoint, 0);
+        permille.map_or(1.0, |permille| permille / f64::from(WHOLE_PERMILLE))
+    }
+}
+
+impl FleetScheduler {
+    /// Records how long work takes at an endpoint at this moment, as the endpoint states.
+    pub(super) fn on_stated(&mut self, now: Timestamp, endpoint: &EndpointId, percent: u16) {
+        if let Some(speeds) = &mut self.speeds
+            && let Some(known) = self.endpoints.get(endpoint)
+            && known.is_prefill()
+        {
+            speeds.prefill.record_percent(now, endpoint, percent);
+        }
+    }
+
+    /// Time for which a prompt occupies a prefill endpoint.
+    pub(super) fn prefill_time_at(
+        &self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        prompt: Tokens,
+    ) -> Duration {
+        let time = self.estimates.prefill_time(prompt);
+        match &self.speeds {
+            Some(speeds) => {
+                let current = speeds.prefill.current_permille(now, endpoint);
+                time.mul_f64(speeds.prefill_ratio(now, endpoint)) * current / WHOLE_PERMILLE
+            }
+            None => time,
+        }
+    }
+
+    /// Time per output token at a decode endpoint while `running` requests run there.
+    pub(super) fn token_time_at(
+        &self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        running: usize,
+    ) -> Duration {
+        let speeds = self.speeds.as_ref();
+        let nanos =
+            speeds.and_then(|speeds| speeds.decode.expected_work(now, endpoint, running as u64));
+        nanos.map_or(self.estimates.token_time(), |nanos| {
+            Duration::from_nanos((nanos as u64).max(1))
+        })
+    }
+
+    /// Cost of decode memory at an endpoint: the tokens in use, multiplied by the time for which a
+    /// request holds them there relative to the service's average. The cost rises steeply near the
+    /// memory limit, so that fast endpoints keep some of the room for outputs that become longer than
+    /// estimated.
+    pub(super) fn decode_cost(
+        &self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        running: usize,
+        tokens: u64,
+    ) -> u64 {
+        if self.speeds.is_none() {
+            return tokens;
+        }
+        let own = self.token_time_at(now, endpoint, running).as_secs_f64();
+        let average = self
+            .estimates
+            .token_time()
+            .as_secs_f64()
+            .max(f64::MIN_POSITIVE);
+        let fill = tokens as f64 / self.view.memory.0.max(1) as f64;
+        let room = (1.0 - fill).max(MIN_ROOM);
+        (tokens as f64 * own / average / room) as u64
+    }
+
+    /// Expected time at which a prefill endpoint has processed its prompts. A prompt that takes longer
+    /// than expected is assumed to take as long again: the endpoint is slow at this moment, and the
+    /// next prompt is better sent to another one.
+    pub(super) fn prefill_free_at(&self, now: Timestamp, endpoint: &FleetEndpoint) -> Timestamp {
+        /// Delay of a response that says nothing about the endpoint.
+        const MIN_OVERDUE: Duration = Duration::from_millis(10);
+        let free_at = endpoint.free_at(now);
+        if self.speeds.is_none() {
+            return free_at;
+        }
+        let overdue = endpoint.overdue(now, self.estimates.prefill_latency());
+        if overdue < MIN_OVERDUE {
+            return free_at;
+        }
+        free_at.max(now) + overdue
+    }
+
+    /// Start of a prefill for the comparison of endpoints. Without speeds, an endpoint whose prompts are
+    /// overdue is preferred to one that has none.
+    pub(super) fn prefill_start(&self, now: Timestamp, free_at: Timestamp) -> Timestamp {
+        match &self.speeds {
+            Some(_) => free_at.max(now),
+            None => free_at,
+        }
+    }
+
+    /// Demand with the times at endpoints of the mean rate of their pool. The estimates of the service
+    /// follow the endpoints that get the most requests.
+    pub(super) fn demand_at_endpoints(&self, now: Timestamp, demand: Demand) -> Demand {
+        let Some(speeds) = &self.speeds else {
+            return demand;
+        };
+        let pool = |is: fn(&FleetEndpoint) -> bool| {
+            let endpoints = self.endpoints.iter();
+            endpoints.filter(move |(_, each)| is(each))
+        };
+        let prefill = harmonic_mean(
+            pool(FleetEndpoint::is_prefill).map(|(id, _)| speeds.prefill_ratio(now, id)),
+        );
+        let average = self.estimates.token_time().as_secs_f64();
+        let decode = harmonic_mean(pool(FleetEndpoint::is_decode).map(|(id, each)| {
+            let running = each.loads.len().max(1);
+            self.token_time_at(now, id, running).as_secs_f64() / average
+        }));
+        Demand {
+            prefill: demand.prefill.mul_f64(prefill),
+            decode: demand.decode.mul_f64(decode),
+        }
+    }
+}
+
+/// Harmonic mean of relative durations, the inverse of the mean rate; 1 without any.
+fn harmonic_mean(durations: impl Iterator<Item = f64>) -> f64 {
+    let (mut count, mut rate) = (0.0, 0.0);
+    for duration in durations.filter(|each| each.is_finite() && *each > 0.0) {
+        count += 1.0;
+        rate += 1.0 / duration;
+    }
+    if rate > 0.0 { count / rate } else { 1.0 }
+}
