Select plain endpoints by speed and by the load that they state

Cause: a gateway's own averages are about a second old, an endpoint is slow for some 600 ms at a time.

Change: with endpoint_speeds, gateways report sums of completed work to the leader in reply to its heartbeat; the leader merges them and sends what changed, at most once a second and 64 endpoints at a time. A gateway draws two endpoints by the merged estimates (by its own without a leader), asks those for their load at the health path whose figure is older than 100 ms (at most 8 calls/s, for at most a twelfth of the latency target), and takes the better one. Prefill endpoints' stated figures reach the leader's scheduler when they change by a fifth.

--- a/crates/mimosa-control/src/routing.rs
+++ b/crates/mimosa-control/src/routing.rs
@@ -33,6 +33,7 @@
 pub mod listing;
 pub mod metrics;
 pub mod published;
+pub mod speeds;
 
 /// Time limit for learning which changes precede an order. Operators send an order again, to another
 /// instance, after 1 s without an answer, and may revoke it once that is confirmed; an order that is
--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -31,6 +31,7 @@
 use mimosa_schedule::fleet::FleetScheduler;
 use mimosa_schedule::fleet::GatewayRequestId;
 use mimosa_schedule::fleet::RunEnd;
+use mimosa_schedule::speed::EndpointSpeed;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -71,6 +72,8 @@
     overloaded: watch::Sender<Vec<(AccountId, u16)>>,
     /// Number of changes of the suspects.
     suspect_changes: watch::Sender<u64>,
+    /// Number of updates of the speeds of plain endpoints.
+    speed_changes: watch::Sender<u64>,
     inner: Mutex<Inner>,
 }
 
@@ -93,6 +96,7 @@
             wake_changed: Notify::new(),
             overloaded: watch::Sender::default(),
             suspect_changes: watch::Sender::default(),
+            speed_changes: watch::Sender::default(),
             inner: Mutex::new(Inner {
                 metrics: metrics.clone(),
                 tolerance,
@@ -247,6 +251,17 @@
         self.lock().quarantine.suspects(self.now())
     }
 
+    /// Changes when [`Self::speeds_after`] does.
+    pub fn speed_changes(&self) -> watch::Receiver<u64> {
+        self.speed_changes.subscribe()
+    }
+
+    /// The speeds of plain endpoints that changed after the change with a number, and the number of the
+    /// last of them; none while this instance does not lead.
+    pub fn speeds_after(&self, number: u64) -> (u64, Vec<EndpointSpeed>) {
+        self.lock().speeds.changes_after(number)
+    }
+
     /// The number of gateways that are connected or within their reconnect time.
     pub fn gateways(&self) -> u32 {
         u32::try_from(self.lock().gateways.len()).unwrap_or(u32::MAX)
@@ -325,7 +340,19 @@
             | GatewayMessage::ReportSoundParts(_)
             | GatewayMessage::ReportSuspects(_)
             | GatewayMessage::ReportRateLimit { .. }
+            | GatewayMessage::ReportWork { .. }
+            | GatewayMessage::ReportStatedTime { .. }
                 if !inner.leads => {}
+            GatewayMessage::ReportWork { .. } | GatewayMessage::ReportStatedTime { .. }
+                if !inner.features.endpoint_speeds => {}
+            GatewayMessage::ReportWork { service, work } => {
+                inner.speeds.record(now, &service, &work);
+            }
+            GatewayMessage::ReportStatedTime {
+                service,
+                endpoint,
+                percent,
+            } => inner.handle(now, &service, Event::Stated { endpoint, percent }),
             GatewayMessage::ReportRateLimit {
                 service,
                 endpoint,
@@ -415,6 +442,7 @@
             inner.quarantine = PartQuarantine::default();
             self.metrics.set_quarantined(0);
             inner.overloaded.clear();
+            inner.speeds.clear();
             inner.routing_index = None;
         }
         if !leads {
@@ -437,6 +465,7 @@
             let running = inner.fleets.values().map(FleetScheduler::running).sum();
             self.metrics.set_requests("waiting", waiting);
             self.metrics.set_requests("running", running);
+            self.publish_speeds(now, &mut inner);
             for (service, fleet) in &inner.fleets {
                 if fleet.waiting() + fleet.running() > 0 {
                     info!("service={service} {}", fleet.summary(now));
@@ -445,6 +474,22 @@
         }
     }
 
+    /// Updates the speeds of plain endpoints that gateways know.
+    fn publish_speeds(&self, now: Timestamp, inner: &mut Inner) {
+        if !inner.features.endpoint_speeds {
+            return;
+        }
+        let published = Arc::clone(&inner.published);
+        let endpoints = published.list.endpoints.iter();
+        let listed = endpoints.map(|endpoint| (&endpoint.id, &endpoint.service));
+        if inner.speeds.update(now, listed) {
+            self.speed_changes.send_modify(|changes| *changes += 1);
+        }
+        for (service, speeds) in inner.speeds.summaries(now) {
+            info!("service={service} {speeds}");
+        }
+    }
+
     fn publish_suspects(&self, inner: &Inner, is_changed: bool) {
         if is_changed {
             let quarantined = inner.quarantine.quarantined();
--- a/crates/mimosa-control/src/routing/dispatch/inner.rs
+++ b/crates/mimosa-control/src/routing/dispatch/inner.rs
@@ -46,6 +46,7 @@
 use crate::routing::dispatch::request_index::RequestIndex;
 use crate::routing::metrics::Metrics;
 use crate::routing::published::PublishedList;
+use crate::routing::speeds::ServiceSpeeds;
 
 /// Time in which gateways report their running requests to a new leader before it places new ones.
 const TAKEOVER_DELAY: Duration = Duration::from_millis(200);
@@ -71,6 +72,8 @@
     pub(super) quotas: Quotas,
     /// Prompt parts and requests that may crash endpoints.
     pub(super) quarantine: PartQuarantine,
+    /// Speeds of plain endpoints.
+    pub(super) speeds: ServiceSpeeds,
     /// The overloaded accounts that were last published, with the admitted part in thousandths.
     pub(super) overloaded: BTreeMap<AccountId, u16>,
     /// When they were last published.
--- a/crates/mimosa-control/src/routing/gateway_port.rs
+++ b/crates/mimosa-control/src/routing/gateway_port.rs
@@ -10,6 +10,7 @@
 use mimosa_route::message::ControlMessage;
 use mimosa_route::message::ControlState;
 use mimosa_route::message::GatewayMessage;
+use mimosa_route::message::MAX_SPEEDS;
 use mimosa_transport::accept;
 use mimosa_transport::frame;
 use mimosa_transport::frame::MAX_HELLO_BYTES;
@@ -40,6 +41,8 @@
 /// Minimum interval of messages with the suspects, which after the loss of many endpoints change with
 /// the report of each gateway.
 const SUSPECTS_INTERVAL: Duration = Duration::from_millis(50);
+/// Minimum interval of messages with the speeds of plain endpoints.
+const SPEEDS_INTERVAL: Duration = Duration::from_secs(1);
 /// Capacity of the outgoing queue of one connection.
 const MAX_QUEUED_MESSAGES: usize = 1_024;
 
@@ -162,6 +165,10 @@
         let mut suspects = self.dispatcher.suspect_changes();
         suspects.mark_changed();
         let mut suspects_due = Instant::now();
+        let mut speed_changes = self.dispatcher.speed_changes();
+        speed_changes.mark_changed();
+        let mut speeds_due = Instant::now();
+        let mut sent_speeds = 0;
         loop {
             let frame = tokio::select! {
                 _ = ticks.tick() => Some(self.control_state()?),
@@ -178,6 +185,19 @@
                         false => Some(frame::encode(&ControlMessage::Suspects(suspects))?.into()),
                     }
                 }
+                Ok(()) = changed_after(&mut speed_changes, speeds_due) => {
+                    speeds_due = Instant::now() + SPEEDS_INTERVAL;
+                    let (number, speeds) = self.dispatcher.speeds_after(sent_speeds);
+                    sent_speeds = number;
+                    if speeds.len() == MAX_SPEEDS {
+                        // The rest follows with the next message.
+                        speed_changes.mark_changed();
+                    }
+                    match speeds.is_empty() {
+                        true => None,
+                        false => Some(frame::encode(&ControlMessage::EndpointSpeeds(speeds))?.into()),
+                    }
+                }
                 Ok(()) = routing.changed() => Some(self.control_state()?),
                 Ok(()) = self.endpoints.changed() => {
                     let published = Arc::clone(&self.endpoints.borrow_and_update());
--- a/crates/mimosa-gateway/src/control_link.rs
+++ b/crates/mimosa-gateway/src/control_link.rs
@@ -165,6 +165,9 @@
                     report_suspects(shared);
                 }
                 let now = shared.now();
+                for report in shared.speeds.on_leader_heard(now) {
+                    send(outbox, report);
+                }
                 if let Some(report) = shared.local_quota.on_leader_heard(now, state.term) {
                     let AbsenceReport { absence, used } = report;
                     send(outbox, GatewayMessage::ReportQuotaUse { absence, used });
@@ -199,6 +202,11 @@
                 shared.local_quota.set_overloaded(accounts);
             }
         }
+        ControlMessage::EndpointSpeeds(speeds) => {
+            if directory.leader().as_ref() == Some(instance) {
+                shared.speeds.on_digest(speeds);
+            }
+        }
         ControlMessage::NotLeaderForQuota { account } => shared.local_quota.on_not_leader(&account),
         ControlMessage::Queued { number } => shared.placement.on_queued(number),
         ControlMessage::Placed { number, placement } => {
--- a/crates/mimosa-gateway/src/dialect.rs
+++ b/crates/mimosa-gateway/src/dialect.rs
@@ -155,6 +155,10 @@
     /// The load that the endpoint reports in a response; `None` if it reports none.
     fn reported_load(&self, headers: &HeaderMap) -> Option<ReportedLoad>;
 
+    /// How long work takes at the endpoint at this moment, in percent of the usual time, as the
+    /// endpoint states in a response; `None` if it does not.
+    fn stated_percent(&self, headers: &HeaderMap) -> Option<u16>;
+
     /// What the endpoint asks of its senders in a response.
     fn advice(&self, status: StatusCode, headers: &HeaderMap) -> SenderAdvice;
 
--- a/crates/mimosa-gateway/src/lib.rs
+++ b/crates/mimosa-gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod resume;
 mod serve;
 mod shared;
+mod speed;
 mod upstream;
 
 pub mod dialect;
--- a/crates/mimosa-gateway/src/metrics.rs
+++ b/crates/mimosa-gateway/src/metrics.rs
@@ -21,6 +21,7 @@
     placements: IntCounterVec,
     quota_charges: IntCounterVec,
     retries: IntCounterVec,
+    load_calls: IntCounterVec,
     resumes: IntCounterVec,
     stream_ends: IntCounterVec,
     response_time: HistogramVec,
@@ -80,6 +81,11 @@
                 "Requests that would be sent once more, by service and whether the budget let them",
                 &["service", "allowed"],
             ),
+            load_calls: counter(
+                "mimosa_gateway_load_calls_total",
+                "Calls that asked plain endpoints for their load, by outcome",
+                &["outcome"],
+            ),
             resumes: counter(
                 "mimosa_gateway_resumed_streams_total",
                 "Streams that broke and might go on elsewhere, by outcome",
@@ -145,6 +151,12 @@
         self.retries.with_label_values(&[service, allowed]).inc();
     }
 
+    /// Records a call that asked an endpoint for its load: `answered`, `late`, or `over_budget` if it was
+    /// not made.
+    pub(crate) fn record_load_call(&self, outcome: &str) {
+        self.load_calls.with_label_values(&[outcome]).inc();
+    }
+
     /// Records an attempt to resume a stream: `refused`, `started` or `failed`.
     pub(crate) fn record_resume(&self, outcome: &str) {
         self.resumes.with_label_values(&[outcome]).inc();
--- a/crates/mimosa-gateway/src/plain.rs
+++ b/crates/mimosa-gateway/src/plain.rs
@@ -12,12 +12,14 @@
 
 use crate::dialect::Step;
 use crate::directory::EndpointEntry;
+use crate::directory::EndpointSet;
 use crate::head::IdentifiedRequest;
 use crate::part_quarantine::TrackedRun;
 use crate::relay;
 use crate::response::Body;
 use crate::response::Failure;
 use crate::shared::Shared;
+use crate::speed;
 use crate::upstream;
 use crate::upstream::CallFailure;
 use crate::upstream::ClientRequest;
@@ -56,9 +58,7 @@
             break;
         }
         let endpoints = shared.directory.endpoints();
-        let Some(endpoint) =
-            upstream::select_endpoint(shared, now, &endpoints, request, role, &tried)
-        else {
+        let Some(endpoint) = select_endpoint(shared, now, &endpoints, request, &tried).await else {
             break;
         };
         if attempts > 0 && !shared.take_retry(now, &request.service) {
@@ -98,6 +98,21 @@
     last.into_result(retry_after)
 }
 
+/// Selects an endpoint that was not tried yet; `None` if there is no usable one.
+async fn select_endpoint(
+    shared: &Arc<Shared>,
+    now: Timestamp,
+    endpoints: &EndpointSet,
+    request: &IdentifiedRequest,
+    tried: &[Arc<EndpointEntry>],
+) -> Option<Arc<EndpointEntry>> {
+    if shared.speeds.is_enabled() {
+        return speed::select::select_endpoint(shared, endpoints, request, tried).await;
+    }
+    let role = EndpointRole::Plain;
+    upstream::select_endpoint(shared, now, endpoints, request, role, tried)
+}
+
 /// Logs a response of an endpoint with the data that determined the routing of the request.
 fn log_response(
     request: &IdentifiedRequest,
--- a/crates/mimosa-gateway/src/relay.rs
+++ b/crates/mimosa-gateway/src/relay.rs
@@ -73,6 +73,9 @@
     match collected {
         Ok(body) => {
             record_health(&endpoint, now, sent, head.status.is_server_error());
+            if head.status.is_success() {
+                shared.speeds.record_answer(now, &endpoint, now.since(sent));
+            }
             endpoint.pool.put(now, connection);
             tracked.record_sound(now, shared);
             upstream::remove_hop_by_hop(&mut head.headers);
--- a/crates/mimosa-gateway/src/shared.rs
+++ b/crates/mimosa-gateway/src/shared.rs
@@ -28,6 +28,7 @@
 use crate::part_quarantine::KnownSuspects;
 use crate::settings::Reloadable;
 use crate::settings::Settings;
+use crate::speed::KnownSpeeds;
 
 /// Part of the drain time, in thousandths, during which new streams are accepted. The platform
 /// takes several seconds to stop sending requests, and a stream can last for most of the drain
@@ -56,6 +57,8 @@
     pub(crate) local_quota: LocalQuota,
     /// Prompt parts and requests that crash endpoints.
     pub(crate) suspects: KnownSuspects,
+    /// Speeds of endpoints.
+    pub(crate) speeds: KnownSpeeds,
     pub(crate) metrics: Metrics,
     /// Start of the drain in microseconds; 0 if the gateway is not draining.
     drain_started_us: AtomicU64,
@@ -80,6 +83,7 @@
         Self {
             reloadable: ArcSwap::from_pointee(settings.reloadable.clone()),
             reloaded: Notify::new(),
+            speeds: KnownSpeeds::new(settings.features.endpoint_speeds),
             settings,
             incarnation: Incarnation(u64::from_le_bytes(seed)),
             dialect,
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -24,6 +24,7 @@
 use mimosa_protocol::ExecutionStatus;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::configuration::EndpointRole;
+use mimosa_route::RoutedService;
 use mimosa_route::message::GatewayMessage;
 use mimosa_schedule::cold::Pacing;
 use mimosa_schedule::pick::Candidate;
@@ -136,26 +137,67 @@
     role: EndpointRole,
     tried: &[Arc<EndpointEntry>],
 ) -> Option<Arc<EndpointEntry>> {
-    let cold_start = request.table.service(&request.service)?.cold_start;
-    let gateways = shared.gateways.load(Ordering::Relaxed);
-    let pacing = Pacing::for_sender(cold_start.per_kilosecond, gateways, shared.pacing_number);
-    let usable: Vec<_> = endpoints
+    let usable = usable_endpoints(shared, now, endpoints, request, role, tried)?;
+    let candidates: Vec<_> = usable
+        .iter()
+        .map(|each| candidate(shared, now, each))
+        .collect();
+    let selected = &usable[pick(&candidates, shared.random())?];
+    record_selection(shared, now, request, selected);
+    Some(Arc::clone(selected))
+}
+
+/// The endpoints of the request's service and role that were not tried yet and take a request of this
+/// gateway now; `None` if the service is unknown.
+pub(crate) fn usable_endpoints(
+    shared: &Shared,
+    now: Timestamp,
+    endpoints: &EndpointSet,
+    request: &IdentifiedRequest,
+    role: EndpointRole,
+    tried: &[Arc<EndpointEntry>],
+) -> Option<Vec<Arc<EndpointEntry>>> {
+    let pacing = pacing(shared, request)?;
+    let usable = endpoints
         .active(&request.service, role)
         .iter()
         .filter(|each| !shared.directory.is_out_of_service(&each.listed.data_centre))
         .filter(|each| !tried.iter().any(|other| other.listed.id == each.listed.id))
         .filter(|each| each.accepts_requests(now))
         .filter(|each| each.cold().allows_request(now, pacing))
-        .filter(|each| each.rate_limit().allows_request(now, shared.senders()))
-        .collect();
-    let candidates: Vec<_> = usable
-        .iter()
-        .map(|each| candidate(shared, now, each))
-        .collect();
-    let selected = usable[pick(&candidates, shared.random())?];
-    selected.cold().record_request(now, pacing);
+        .filter(|each| each.rate_limit().allows_request(now, shared.senders()));
+    Some(usable.cloned().collect())
+}
+
+/// Counts a request to an endpoint against the limits of its cold start and of its rate.
+pub(crate) fn record_selection(
+    shared: &Shared,
+    now: Timestamp,
+    request: &IdentifiedRequest,
+    selected: &EndpointEntry,
+) {
+    if let Some(pacing) = pacing(shared, request) {
+        selected.cold().record_request(now, pacing);
+    }
     selected.rate_limit().record_request(now, shared.senders());
-    Some(Arc::clone(selected))
+}
+
+/// Rate of requests of this gateway to a cold endpoint of the request's service.
+fn pacing(shared: &Shared, request: &IdentifiedRequest) -> Option<Pacing> {
+    let cold_start = request.table.service(&request.service)?.cold_start;
+    let gateways = shared.gateways.load(Ordering::Relaxed);
+    Some(Pacing::for_sender(
+        cold_start.per_kilosecond,
+        gateways,
+        shared.pacing_number,
+    ))
+}
+
+/// Maximum number of connections of this gateway to an endpoint of a service.
+pub(crate) fn max_connections(service: Option<&RoutedService>) -> u32 {
+    service.map_or(MIN_CONNECTIONS, |service| {
+        (service.max_connections / CONNECTION_SHARE_DIVISOR).max(MIN_CONNECTIONS)
+    })
 }
 
 /// Shortest time after which an endpoint of the request's service and role takes a request from this
@@ -177,7 +219,7 @@
     waits.min()
 }
 
-fn candidate(shared: &Shared, now: Timestamp, endpoint: &EndpointEntry) -> Candidate {
+pub(crate) fn candidate(shared: &Shared, now: Timestamp, endpoint: &EndpointEntry) -> Candidate {
     let health = endpoint.health();
     let reported_load = endpoint
         .reported_load()
@@ -236,10 +278,7 @@
     let now = shared.now();
     let in_flight = InFlightGuard::new(endpoint);
     let service = request.table.service(&request.service);
-    let max_connections = service.map_or(MIN_CONNECTIONS, |service| {
-        (service.max_connections / CONNECTION_SHARE_DIVISOR).max(MIN_CONNECTIONS)
-    });
-    let mut connection = match endpoint.pool.take(now, max_connections).await {
+    let mut connection = match endpoint.pool.take(now, max_connections(service)).await {
         Ok(connection) => connection,
         Err(PoolError::Refused | PoolError::Unreachable) => {
             endpoint.health().record_unreachable(shared.now());
@@ -279,6 +318,11 @@
     if let Some(load) = dialect.reported_load(response.headers()) {
         endpoint.set_reported_load(now, load);
     }
+    if let Some(percent) = dialect.stated_percent(response.headers())
+        && let Some(report) = shared.speeds.record_percent(now, endpoint, percent)
+    {
+        shared.placement.send_to_leader(report);
+    }
     let call = SentCall {
         attempt: &request.metadata.attempt_id,
         step: &step,
--- a/crates/mimosa-route/src/message.rs
+++ b/crates/mimosa-route/src/message.rs
@@ -21,12 +21,17 @@
 use mimosa_schedule::fleet::PlacementRequest;
 use mimosa_schedule::fleet::RunEnd;
 use mimosa_schedule::fleet::RunningRequest;
+use mimosa_schedule::speed::EndpointSpeed;
+use mimosa_schedule::speed::EndpointWork;
 
 use crate::model::DocumentVersion;
 use crate::sync::ListChange;
 use crate::sync::ListDigest;
 use crate::sync::ListParts;
 
+/// Maximum number of endpoints in a message about speeds, which bounds it to some 2 KB.
+pub const MAX_SPEEDS: usize = 64;
+
 data! {
     /// Messages from a gateway to a control instance.
     pub enum GatewayMessage {
@@ -143,6 +148,23 @@
             /// Highest rate that it takes from all gateways together; `None` if it has no limit any more.
             max_rate: Option<RequestRate>,
         },
+        /// Work that plain endpoints completed for the gateway since the previous report. Sent in reply
+        /// to a heartbeat of the leader, if there was any.
+        ReportWork {
+            /// Service of the endpoints.
+            service: ServiceId,
+            /// Sums of the endpoints, at most [`MAX_SPEEDS`].
+            work: Vec<EndpointWork>,
+        },
+        /// A prefill endpoint stated a new figure of how long work takes there at this moment.
+        ReportStatedTime {
+            /// Service of the endpoint.
+            service: ServiceId,
+            /// Endpoint that stated it.
+            endpoint: EndpointId,
+            /// Duration of work in percent of the usual one.
+            percent: u16,
+        },
     }
 
     /// Messages from a control instance to a gateway.
@@ -207,6 +229,9 @@
         /// Prompt parts and requests that may crash endpoints, and which of them are quarantined.
         /// Merged with those that the gateway knows.
         Suspects(Suspects),
+        /// Speeds of plain endpoints that have changed, over the reports of all gateways; at most
+        /// [`MAX_SPEEDS`], and at most once a second.
+        EndpointSpeeds(Vec<EndpointSpeed>),
     }
 
     /// Cluster state as seen by one control instance.
--- a/crates/mimosa-schedule/src/speed.rs
+++ b/crates/mimosa-schedule/src/speed.rs
@@ -64,8 +64,6 @@
         /// Number of running requests at which the duration has doubled; `None` if that is unknown
         /// or was not observed.
         pub concurrency: Option<u32>,
-        /// Usual number of running requests, in thousandths.
-        pub load_permille: u32,
     }
 
     /// Estimate of one endpoint, as the leader sends it to gateways.
@@ -83,7 +81,6 @@
         Self {
             time_permille: WHOLE_PERMILLE,
             concurrency: None,
-            load_permille: 0,
         }
     }
 }
@@ -134,7 +131,6 @@
         differs(self.time_permille, earlier.time_permille, 0)
             || self.concurrency.is_some() != earlier.concurrency.is_some()
             || differs(concurrency(self), concurrency(earlier), 10)
-            || differs(self.load_permille, earlier.load_permille, 5_000)
     }
 }
 
@@ -177,6 +173,27 @@
         self.evidence(endpoint).set_percent(now, percent);
     }
 
+    /// Time since the last evidence on an endpoint; `None` without any.
+    pub fn age(&self, now: Timestamp, endpoint: &EndpointId) -> Option<Duration> {
+        let evidence = self.endpoints.get(endpoint);
+        evidence.map(|each| now.since(each.updated_at()))
+    }
+
+    /// Whether there is evidence on an endpoint.
+    pub fn contains(&self, endpoint: &EndpointId) -> bool {
+        self.endpoints.contains_key(endpoint)
+    }
+
+    /// Number of endpoints with evidence.
+    pub fn len(&self) -> usize {
+        self.endpoints.len()
+    }
+
+    /// Whether there is no evidence.
+    pub fn is_empty(&self) -> bool {
+        self.endpoints.is_empty()
+    }
+
     /// Removes the endpoints for which `keeps` returns false.
     pub fn retain(&mut self, mut keeps: impl FnMut(&EndpointId) -> bool) {
         self.endpoints.retain(|id, _| keeps(id));
--- a/crates/mimosa-schedule/src/speed/evidence.rs
+++ b/crates/mimosa-schedule/src/speed/evidence.rs
@@ -110,6 +110,10 @@
         }
     }
 
+    pub(super) const fn updated_at(&self) -> Timestamp {
+        self.at
+    }
+
     pub(super) fn is_expired(&self, now: Timestamp) -> bool {
         self.sums_at(now).weight < MIN_WEIGHT
     }
@@ -127,11 +131,9 @@
         let own = sums.idle_work(slope) / service.idle_work;
         let time = (own * sums.weight + PRIOR_WEIGHT) / (sums.weight + PRIOR_WEIGHT);
         let time_permille = (time * f64::from(WHOLE_PERMILLE)) as u32;
-        let mean_load = sums.mean_load();
         SpeedEstimate {
             time_permille: time_permille.clamp(MIN_TIME_PERMILLE, MAX_TIME_PERMILLE),
-            concurrency: concurrency(slope, mean_load),
-            load_permille: (mean_load * f64::from(WHOLE_PERMILLE)) as u32,
+            concurrency: concurrency(slope, sums.mean_load()),
         }
     }
 
--- a/crates/mimosa-schedule/src/speed/select.rs
+++ b/crates/mimosa-schedule/src/speed/select.rs
@@ -21,8 +21,9 @@
 
 /// Cost of an endpoint at a failure rate of 100%, in multiples added to its normal cost.
 const FAILURE_WEIGHT: f64 = 8.0;
-/// Weight of an endpoint in another data centre relative to a local one. A local endpoint that is
-/// loaded until its work takes twice as long is weighted like an idle remote one.
+/// Weight of an endpoint in another data centre relative to a local one, because traffic between data
+/// centres is not free. It is high enough that a remote one is compared often while a local one is
+/// overloaded.
 const REMOTE_WEIGHT: f64 = 0.25;
 /// Cost of an endpoint in another data centre relative to a local one.
 const REMOTE_COST: f64 = 1.15;
@@ -92,13 +93,13 @@
     last
 }
 
-/// Load that the endpoint handles well, reduced while it has more.
+/// Rate of requests that the endpoint handles well. The weight does not depend on the load: weights that
+/// followed loads of the second before oscillated.
 fn weight(each: &RatedCandidate) -> f64 {
     let rate = concurrency(each) / f64::from(each.estimate.time_permille.max(1));
-    let place = if each.candidate.is_local {
-        1.0
-    } else {
-        REMOTE_WEIGHT
+    let place = match each.candidate.is_local {
+        true => 1.0,
+        false => REMOTE_WEIGHT,
     };
     rate * place / failure_factor(each)
 }
@@ -113,11 +114,6 @@
         ..
     } = each.candidate;
     let load = own_load.max(reported_load.unwrap_or(0)) as f64;
-    let usual_load = f64::from(each.estimate.load_permille) / f64::from(WHOLE_PERMILLE);
-    let load = match reported_load {
-        Some(_) => load,
-        None => load.max(usual_load),
-    };
     let place = if is_local { 1.0 } else { REMOTE_COST };
     f64::from(each.estimate.time_permille)
         * f64::from(each.current_permille)
