Try idle endpoints again, keep shares steady, and test endpoint speeds

Cause: an endpoint of a model that got no request was never tried again at low load.

Change: an endpoint without a request for 5 s counts as half as expensive for one request; the number is kept in thousandths.

--- a/crates/mimosa-control/src/routing/speeds.rs
+++ b/crates/mimosa-control/src/routing/speeds.rs
@@ -101,7 +101,8 @@
             let mut speeds: Vec<_> = table.estimates(now).collect();
             speeds.sort_by_key(|(_, each)| std::cmp::Reverse(each.time_permille));
             let listed = speeds.iter().take(MAX_LISTED).map(|(id, each)| {
-                let concurrency = each.concurrency.map_or("?".to_owned(), |n| n.to_string());
+                let concurrency = each.concurrency_permille;
+                let concurrency = concurrency.map_or("?".to_owned(), |n| (n / 1_000).to_string());
                 let age = table.age(now, id).unwrap_or_default().as_millis();
                 format!("{id}:{}/{concurrency}/{age}", each.time_permille)
             });
--- a/crates/mimosa-schedule/src/fleet/placing.rs
+++ b/crates/mimosa-schedule/src/fleet/placing.rs
@@ -40,14 +40,13 @@
                 decode,
             });
         }
-        let prefill_time = |id| self.prefill_time_at(now, id, request.prompt);
         let has_prefill_pool = self.endpoints.values().any(FleetEndpoint::is_prefill);
         let prefill = self
             .free_prefills(now)
             .filter(|(id, ..)| !self.avoids(request, id))
             .min_by_key(|(id, each, free_at)| {
-                let end = self.prefill_start(now, *free_at) + prefill_time(id);
-                (!each.is_in(&request.data_centre), end)
+                let rank = self.prefill_rank(now, id, *free_at, request.prompt);
+                (!each.is_in(&request.data_centre), rank)
             });
         if has_prefill_pool && prefill.is_none() {
             if self.prefill_pool_meets_target(now, index, queued) {
@@ -59,7 +58,7 @@
             .as_ref()
             .map_or(now, |(.., free_at)| (*free_at).max(now));
         let prefill_time = match &prefill {
-            Some((id, ..)) => prefill_time(id),
+            Some((id, ..)) => self.prefill_time_at(now, id, request.prompt),
             None => self.estimates.prefill_time(request.prompt),
         };
         let prefill_end = prefill_start + prefill_time + self.estimates.prefill_latency();
@@ -238,10 +237,13 @@
         if let Some(endpoint) = self.endpoints.get_mut(&placement.decode) {
             endpoint.loads.insert(id.clone(), load);
         }
-        for endpoint in placement.prefill.iter().chain([&placement.decode]) {
-            if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
+        for endpoint_id in placement.prefill.iter().chain([&placement.decode]) {
+            if let Some(endpoint) = self.endpoints.get_mut(endpoint_id) {
                 endpoint.record_request(now, self.view.cold_pacing);
             }
+            if let Some(speeds) = &mut self.speeds {
+                speeds.record_placement(now, endpoint_id);
+            }
         }
         let run = Run {
             request,
--- a/crates/mimosa-schedule/src/fleet/speeds.rs
+++ b/crates/mimosa-schedule/src/fleet/speeds.rs
@@ -3,6 +3,7 @@
 //! Without [`Settings::endpoint_speeds`](super::Settings::endpoint_speeds), all endpoints of a role
 //! are assumed to be equally fast.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use mimosa_protocol::EndpointId;
@@ -18,6 +19,12 @@
 const WHOLE_PERMILLE: u32 = 1_000;
 /// Least share of the memory that counts as free in the cost of an endpoint.
 const MIN_ROOM: f64 = 0.02;
+/// Time without a request after which an endpoint is tried again. It is short enough to notice within
+/// seconds that an endpoint has become faster, and at 35 endpoints tries one request in 10 of 70 a second
+/// at most.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(5);
+/// Divisor of the cost of an endpoint that is to be tried again.
+const TRIAL_DIVISOR: u32 = 2;
 
 /// Speeds of prefill and decode, which are separate kinds of work.
 #[derive(Debug, Default)]
@@ -26,6 +33,8 @@
     prefill: SpeedTable,
     /// Times per output token in nanoseconds, by the number of running requests.
     decode: SpeedTable,
+    /// When each endpoint last got a request.
+    placed_at: BTreeMap<EndpointId, Timestamp>,
 }
 
 impl EndpointSpeeds {
@@ -68,6 +77,20 @@
     pub(super) fn retain(&mut self, keeps: impl Fn(&EndpointId) -> bool) {
         self.prefill.retain(&keeps);
         self.decode.retain(&keeps);
+        self.placed_at.retain(|id, _| keeps(id));
+    }
+
+    /// Records that an endpoint got a request.
+    pub(super) fn record_placement(&mut self, now: Timestamp, endpoint: &EndpointId) {
+        self.placed_at.insert(endpoint.clone(), now);
+    }
+
+    /// Divisor of the cost of an endpoint, which is lower if it got no request for a while: nothing else
+    /// tells that it has become faster.
+    fn trial_divisor(&self, now: Timestamp, endpoint: &EndpointId) -> u32 {
+        let placed_at = self.placed_at.get(endpoint);
+        let is_due = placed_at.is_none_or(|at| now.since(*at) >= TRIAL_INTERVAL);
+        if is_due { TRIAL_DIVISOR } else { 1 }
     }
 
     /// Duration of a prefill at an endpoint relative to the service's average.
@@ -131,9 +154,9 @@
         running: usize,
         tokens: u64,
     ) -> u64 {
-        if self.speeds.is_none() {
+        let Some(speeds) = &self.speeds else {
             return tokens;
-        }
+        };
         let own = self.token_time_at(now, endpoint, running).as_secs_f64();
         let average = self
             .estimates
@@ -142,7 +165,8 @@
             .max(f64::MIN_POSITIVE);
         let fill = tokens as f64 / self.view.memory.0.max(1) as f64;
         let room = (1.0 - fill).max(MIN_ROOM);
-        (tokens as f64 * own / average / room) as u64
+        let divisor = f64::from(speeds.trial_divisor(now, endpoint));
+        (tokens as f64 * own / average / room / divisor) as u64
     }
 
     /// Expected time at which a prefill endpoint has processed its prompts. A prompt that takes longer
@@ -162,11 +186,20 @@
         free_at.max(now) + overdue
     }
 
-    /// Start of a prefill for the comparison of endpoints. Without speeds, an endpoint whose prompts are
-    /// overdue is preferred to one that has none.
-    pub(super) fn prefill_start(&self, now: Timestamp, free_at: Timestamp) -> Timestamp {
+    /// Expected end of a prefill for the comparison of endpoints. Without speeds, an endpoint whose
+    /// prompts are overdue is preferred to one that has none.
+    pub(super) fn prefill_rank(
+        &self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        free_at: Timestamp,
+        prompt: Tokens,
+    ) -> Timestamp {
         match &self.speeds {
-            Some(_) => free_at.max(now),
+            Some(speeds) => {
+                let time = self.prefill_time_at(now, endpoint, prompt);
+                free_at.max(now) + time / speeds.trial_divisor(now, endpoint)
+            }
             None => free_at,
         }
     }
--- a/crates/mimosa-schedule/src/speed.rs
+++ b/crates/mimosa-schedule/src/speed.rs
@@ -61,9 +61,9 @@
     pub struct SpeedEstimate {
         /// Duration of work at the idle endpoint in thousandths of the service's mean.
         pub time_permille: u32,
-        /// Number of running requests at which the duration has doubled; `None` if that is unknown
-        /// or was not observed.
-        pub concurrency: Option<u32>,
+        /// Number of running requests at which the duration has doubled, in thousandths of a request;
+        /// `None` if that is unknown or was not observed.
+        pub concurrency_permille: Option<u32>,
     }
 
     /// Estimate of one endpoint, as the leader sends it to gateways.
@@ -80,7 +80,7 @@
     fn default() -> Self {
         Self {
             time_permille: WHOLE_PERMILLE,
-            concurrency: None,
+            concurrency_permille: None,
         }
     }
 }
@@ -124,13 +124,14 @@
         /// Difference, in thousandths, that changes the shares of endpoints less than their usual
         /// fluctuation.
         const MIN_CHANGE_PERMILLE: u32 = 100;
-        let differs = |new: u32, old: u32, unit: u32| {
-            new.abs_diff(old) > unit.max(old) * MIN_CHANGE_PERMILLE / 1_000
+        let differs = |new: u32, old: u32| {
+            u64::from(new.abs_diff(old)) * 1_000 > u64::from(old) * u64::from(MIN_CHANGE_PERMILLE)
         };
-        let concurrency = |each: &Self| each.concurrency.unwrap_or(0);
-        differs(self.time_permille, earlier.time_permille, 0)
-            || self.concurrency.is_some() != earlier.concurrency.is_some()
-            || differs(concurrency(self), concurrency(earlier), 10)
+        let concurrency = match (self.concurrency_permille, earlier.concurrency_permille) {
+            (Some(new), Some(old)) => differs(new, old),
+            (new, old) => new != old,
+        };
+        concurrency || differs(self.time_permille, earlier.time_permille)
     }
 }
 
@@ -230,8 +231,9 @@
             return None;
         }
         let estimate = self.estimate(now, endpoint);
-        let concurrency = estimate.concurrency.or_else(|| self.mean.concurrency());
-        let slowdown = concurrency.map_or(0.0, |each| load as f64 / f64::from(each));
+        let concurrency = estimate.concurrency_permille;
+        let concurrency = concurrency.or_else(|| self.mean.concurrency_permille());
+        let slowdown = concurrency.map_or(0.0, |each| load as f64 * 1e3 / f64::from(each));
         let time = f64::from(estimate.time_permille) / f64::from(WHOLE_PERMILLE);
         Some(self.mean.idle_work * time * (1.0 + slowdown))
     }
@@ -247,9 +249,9 @@
 }
 
 impl ServiceMean {
-    /// Requests at which the duration has doubled.
-    fn concurrency(&self) -> Option<u32> {
-        evidence::concurrency(self.slope, self.load)
+    /// Requests at which the duration has doubled, in thousandths.
+    fn concurrency_permille(&self) -> Option<u32> {
+        evidence::concurrency_permille(self.slope, self.load)
     }
 
     fn of<'a>(now: Timestamp, endpoints: impl Iterator<Item = &'a Evidence>) -> Self {
--- a/crates/mimosa-schedule/src/speed/evidence.rs
+++ b/crates/mimosa-schedule/src/speed/evidence.rs
@@ -133,7 +133,7 @@
         let time_permille = (time * f64::from(WHOLE_PERMILLE)) as u32;
         SpeedEstimate {
             time_permille: time_permille.clamp(MIN_TIME_PERMILLE, MAX_TIME_PERMILLE),
-            concurrency: concurrency(slope, sums.mean_load()),
+            concurrency_permille: concurrency_permille(slope, sums.mean_load()),
         }
     }
 
@@ -198,9 +198,10 @@
     ((covariance + prior) / variance).max(0.0)
 }
 
-/// Load at which the duration is twice that of the idle endpoint.
-pub(super) fn concurrency(slope: f64, mean_load: f64) -> Option<u32> {
+/// Load at which the duration is twice that of the idle endpoint, in thousandths.
+pub(super) fn concurrency_permille(slope: f64, mean_load: f64) -> Option<u32> {
     /// Increase below which the endpoint does not slow down noticeably.
     const MIN_SLOPE: f64 = 0.005;
-    (slope >= MIN_SLOPE).then(|| (1.0 / slope - mean_load).max(1.0).round() as u32)
+    let permille = || (1.0 / slope - mean_load).max(1.0) * 1e3;
+    (slope >= MIN_SLOPE).then(|| permille() as u32)
 }
--- a/crates/mimosa-schedule/src/speed/select.rs
+++ b/crates/mimosa-schedule/src/speed/select.rs
@@ -124,9 +124,11 @@
 
 /// Requests at which the duration of work has doubled, at most as many as run concurrently.
 fn concurrency(each: &RatedCandidate) -> f64 {
-    let slots = u32::try_from(each.candidate.concurrency.max(1)).unwrap_or(u32::MAX);
-    let learned = each.estimate.concurrency.unwrap_or(slots);
-    f64::from(learned.clamp(1, slots))
+    let slots = each.candidate.concurrency.max(1) as f64;
+    let learned = each.estimate.concurrency_permille;
+    learned.map_or(slots, |permille| {
+        (f64::from(permille) / 1e3).clamp(1.0, slots)
+    })
 }
 
 fn failure_factor(each: &RatedCandidate) -> f64 {
--- a/crates/mimosa-schedule/tests/fleet.rs
+++ b/crates/mimosa-schedule/tests/fleet.rs
@@ -2,6 +2,8 @@
 
 #[path = "fleet/simulation.rs"]
 mod simulation;
+#[path = "fleet/speeds.rs"]
+mod speeds;
 
 use std::time::Duration;
 
--- a/crates/mimosa-schedule/tests/speed.rs
+++ b/crates/mimosa-schedule/tests/speed.rs
@@ -103,9 +103,9 @@
         table.record(now, &id("b"), &call(10, load, 0));
     }
     let now = START + Duration::from_secs(15);
-    let concurrency = |name: &str| table.estimate(now, &id(name)).concurrency;
-    expect_that!(concurrency("a"), some(all![ge(3), le(6)]));
-    expect_that!(concurrency("b").unwrap_or(u32::MAX), ge(20));
+    let concurrency = |name: &str| table.estimate(now, &id(name)).concurrency_permille;
+    expect_that!(concurrency("a"), some(all![ge(3_000), le(6_000)]));
+    expect_that!(concurrency("b").unwrap_or(u32::MAX), ge(20_000));
 }
 
 /// Guards against evidence on an episode that has ended steering requests away.
@@ -212,3 +212,54 @@
     slow_now.current_permille = 2_500;
     expect_that!(shares(&[slow_now, rated(1_000, 2)])[0], eq(0));
 }
+
+/// Guards against a herd: gateways that all follow reports which are a second old must not swing the load
+/// from one endpoint to the other. Work slows down beyond two requests at each endpoint.
+#[gtest]
+fn shares_do_not_oscillate_with_reports_that_are_late() {
+    const FACTORS: [f64; 3] = [0.7, 0.7, 1.7];
+    let ids = ["a", "b", "c"].map(id);
+    let mut table = SpeedTable::default();
+    let mut digests = vec![[SpeedEstimate::default(); 3]; 2];
+    let mut random = 1_u64;
+    let mut history = Vec::new();
+    for second in 0..60 {
+        let now = START + Duration::from_secs(second);
+        let candidates = digests[0].map(|estimate| {
+            let mut each = rated(1_000, 0);
+            each.candidate.reported_load = None;
+            each.estimate = estimate;
+            each
+        });
+        let mut counts = [0_u32; 3];
+        for _ in 0..196 {
+            random = random
+                .wrapping_mul(6_364_136_223_846_793_005)
+                .wrapping_add(1);
+            let drawn = draw(&candidates, random ^ (random >> 29)).unwrap();
+            counts[select(&candidates, drawn)] += 1;
+        }
+        for (at, count) in counts.iter().enumerate() {
+            // The load that follows from the rate and the work at the idle endpoint.
+            let idle_ms = 15.0 * FACTORS[at];
+            let offered = f64::from(*count) * idle_ms / 1e3;
+            let slowdown = (1.0 / (1.0 - (offered / 2.0).min(0.95))).max(1.0);
+            let mut sums = WorkSums::default();
+            for spread in 0..*count {
+                let running = (offered * slowdown) as u32 + spread % 3;
+                let took = idle_ms * (f64::from(running.max(1)) / 2.0).max(1.0);
+                sums.record_call(Duration::from_secs_f64(took / 1e3), running, 0);
+            }
+            table.record(now, &ids[at], &sums);
+        }
+        digests.push([0, 1, 2].map(|at| table.estimate(now, &ids[at])));
+        digests.remove(0);
+        history.push(counts);
+    }
+    for at in 0..3 {
+        let settled = history[20..].iter().map(|counts| counts[at]);
+        let (least, most) = (settled.clone().min().unwrap(), settled.max().unwrap());
+        // Four standard deviations of a binomial share around its mean, on both sides.
+        expect_that!(most - least, le(56), "endpoint {at}: {least} to {most}");
+    }
+}
