--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -485,6 +485,8 @@
         if inner.speeds.update(now, listed) {
             self.speed_changes.send_modify(|changes| *changes += 1);
         }
+        self.metrics
+            .set_slow_endpoints(inner.speeds.slow_endpoints(now));
         for (service, speeds) in inner.speeds.summaries(now) {
             info!("service={service} {speeds}");
         }
--- a/crates/mimosa-control/src/routing/metrics.rs
+++ b/crates/mimosa-control/src/routing/metrics.rs
@@ -24,6 +24,7 @@
     leads: IntGauge,
     gateways: IntGauge,
     quarantined: IntGauge,
+    slow_endpoints: IntGauge,
     may_order: IntGauge,
     quota_loans: IntCounterVec,
     sync_time: Histogram,
@@ -68,6 +69,10 @@
             "mimosa_control_quarantined",
             "Prompt parts and requests that the leader quarantines as they crash endpoints",
         );
+        let slow_endpoints = gauge(
+            "mimosa_control_slow_endpoints",
+            "Plain endpoints whose work takes at least 1.5 times as long as the mean of their service",
+        );
         let may_order = gauge(
             "mimosa_control_may_order",
             "1 while this instance leads and every earlier leader's lease on orders has ended",
@@ -109,6 +114,7 @@
             leads,
             gateways,
             quarantined,
+            slow_endpoints,
             may_order,
             quota_loans,
             sync_time,
@@ -156,6 +162,12 @@
         self.0.leads.set(i64::from(leads));
     }
 
+    pub(crate) fn set_slow_endpoints(&self, count: usize) {
+        self.0
+            .slow_endpoints
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     pub(crate) fn set_quarantined(&self, count: usize) {
         self.0
             .quarantined
--- a/crates/mimosa-control/src/routing/speeds.rs
+++ b/crates/mimosa-control/src/routing/speeds.rs
@@ -92,6 +92,14 @@
         (last, speeds.collect())
     }
 
+    /// Number of plain endpoints whose work takes at least half as long again as the mean of their service.
+    pub fn slow_endpoints(&self, now: Timestamp) -> usize {
+        const SLOW_PERMILLE: u32 = 1_500;
+        let estimates = self.services.values().flat_map(|each| each.estimates(now));
+        let slow = estimates.filter(|(_, each)| each.time_permille >= SLOW_PERMILLE);
+        slow.count()
+    }
+
     /// Lists the slowest endpoints for the log, as `id:time/concurrency/age ms`; the time in thousandths
     /// of the service's mean.
     pub fn summaries(&self, now: Timestamp) -> impl Iterator<Item = (&ServiceId, String)> {
--- a/crates/mimosa-schedule/src/fleet.rs
+++ b/crates/mimosa-schedule/src/fleet.rs
@@ -173,7 +173,7 @@
         format!(
             "waiting={} running={} prefill_tokens_per_s={} prefill_latency_us={} token_us={} \
              prefill={} decode={} \
-             endpoints=[{}] unnamed={omitted}",
+             endpoints=[{}] unnamed={omitted}{}",
             self.queue.len(),
             self.runs.len(),
             self.estimates.prefill_rate(),
@@ -181,7 +181,8 @@
             self.estimates.token_time().as_micros(),
             pools.prefill,
             pools.decode,
-            endpoints.join(" ")
+            endpoints.join(" "),
+            self.speeds_summary(now)
         )
     }
 
--- a/crates/mimosa-schedule/src/fleet/speeds.rs
+++ b/crates/mimosa-schedule/src/fleet/speeds.rs
@@ -3,6 +3,7 @@
 //! Without [`Settings::endpoint_speeds`](super::Settings::endpoint_speeds), all endpoints of a role
 //! are assumed to be equally fast.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -111,6 +112,17 @@
         }
     }
 
+    /// Lists the slowest endpoints of each role for the log, as `id:time`; the time in thousandths of the
+    /// mean. Empty without speeds.
+    pub(super) fn speeds_summary(&self, now: Timestamp) -> String {
+        let Some(speeds) = &self.speeds else {
+            return String::new();
+        };
+        let prefill = slowest(now, &speeds.prefill);
+        let decode = slowest(now, &speeds.decode);
+        format!(" slow_prefill=[{prefill}] slow_decode=[{decode}]")
+    }
+
     /// Time for which a prompt occupies a prefill endpoint.
     pub(super) fn prefill_time_at(
         &self,
@@ -238,3 +250,16 @@
     }
     if rate > 0.0 { count / rate } else { 1.0 }
 }
+
+/// Formats the slowest endpoints of a table.
+fn slowest(now: Timestamp, table: &SpeedTable) -> String {
+    /// Maximum number of endpoints in a list.
+    const MAX_LISTED: usize = 8;
+    let mut estimates: Vec<_> = table.estimates(now).collect();
+    estimates.sort_by_key(|(_, each)| Reverse(each.time_permille));
+    let listed = estimates.iter().take(MAX_LISTED);
+    let listed: Vec<String> = listed
+        .map(|(id, each)| format!("{id}:{}", each.time_permille))
+        .collect();
+    listed.join(" ")
+}
