Prefer a local endpoint while loads are not known

Cause: with the loads of the drawn endpoints unknown, as when remote ones answer later than a request may wait, a third of the requests went to another data centre for nothing.

Change: a local endpoint that was drawn with a remote one is taken unless the remote one is expected to be better by more than the distance costs. The time per token of a decode endpoint is computed once for each candidate.

--- a/crates/mimosa-gateway/src/speed.rs
+++ b/crates/mimosa-gateway/src/speed.rs
@@ -67,8 +67,8 @@
 }
 
 impl CallBudget {
-    /// Calls per second. One takes some 300 bytes and 150 us of CPU time, so that all of them stay well
-    /// within the 4 KB/s and 2.6% of a core that a gateway may spend on control.
+    /// Calls per second. One is estimated to take 300 bytes, so that all of them stay within the 4 KB/s
+    /// that a gateway may spend on control.
     const PER_S: u64 = 8;
 
     fn take(&mut self, now: Timestamp) -> bool {
--- a/crates/mimosa-schedule/src/fleet/placing.rs
+++ b/crates/mimosa-schedule/src/fleet/placing.rs
@@ -175,8 +175,8 @@
                 cache_data_centre.is_some_and(|cache_data_centre| each.is_in(cache_data_centre));
             if is_local { 0 } else { load.prompt.0 }
         };
-        let cost = |memory: u64, id: &EndpointId, each: &FleetEndpoint| {
-            self.decode_cost(now, id, each.loads.len() + 1, memory + distance_cost(each))
+        let cost = |memory: u64, id: &EndpointId, each: &FleetEndpoint, token_time| {
+            self.decode_cost(now, id, token_time, memory + distance_cost(each))
         };
         let accepts_work = |each: &FleetEndpoint| {
             let pacing = self.view.cold_pacing;
@@ -192,21 +192,20 @@
                 let running = each.loads.len() + 1;
                 let token_time = self.token_time_at(now, id, running);
                 let current = forecast::current_memory(now, each.loads.values(), token_time);
-                (cost(current, id, each), id, each)
+                (cost(current, id, each, token_time), id, each, token_time)
             })
             .collect();
         let max_forecasts = self.settings.max_forecasts;
         if candidates.len() > max_forecasts {
-            candidates.select_nth_unstable_by_key(max_forecasts, |(cost, id, _)| (*cost, *id));
+            candidates.select_nth_unstable_by_key(max_forecasts, |(cost, id, ..)| (*cost, *id));
             candidates.truncate(max_forecasts);
         }
         candidates
             .iter()
-            .filter_map(|(_, id, each)| {
+            .filter_map(|(_, id, each, token_time)| {
                 let loads = each.loads.values();
-                let token_time = self.token_time_at(now, id, each.loads.len() + 1);
-                let peak = forecast::peak_within(now, loads, load, token_time, memory)?;
-                Some((cost(peak, id, each), *id))
+                let peak = forecast::peak_within(now, loads, load, *token_time, memory)?;
+                Some((cost(peak, id, each, *token_time), *id))
             })
             .min()
             .map(|(_, id)| id.clone())
--- a/crates/mimosa-schedule/src/fleet/speeds.rs
+++ b/crates/mimosa-schedule/src/fleet/speeds.rs
@@ -163,13 +163,13 @@
         &self,
         now: Timestamp,
         endpoint: &EndpointId,
-        running: usize,
+        token_time: Duration,
         tokens: u64,
     ) -> u64 {
         let Some(speeds) = &self.speeds else {
             return tokens;
         };
-        let own = self.token_time_at(now, endpoint, running).as_secs_f64();
+        let own = token_time.as_secs_f64();
         let average = self
             .estimates
             .token_time()
--- a/crates/mimosa-schedule/src/speed/select.rs
+++ b/crates/mimosa-schedule/src/speed/select.rs
@@ -60,7 +60,8 @@
 }
 
 /// Selects one of the drawn endpoints. Without recent knowledge of the load of both, that is the first
-/// one: estimates alone are too old to tell which is better at this moment.
+/// one, because estimates alone are too old to tell which is better at this moment. A remote one is
+/// then left for a local one unless it is expected to be better by more than the distance costs.
 pub fn select(candidates: &[RatedCandidate], drawn: DrawnEndpoints) -> usize {
     let first = &candidates[drawn.first];
     let Some(second) = drawn.second else {
@@ -68,7 +69,9 @@
     };
     let is_known = |each: &RatedCandidate| each.candidate.reported_load.is_some();
     let other = &candidates[second];
-    if is_known(first) && is_known(other) && cost(other) < cost(first) {
+    let is_nearer = other.candidate.is_local && !first.candidate.is_local;
+    let is_comparable = is_known(first) && is_known(other) || is_nearer;
+    if is_comparable && cost(other) < cost(first) {
         second
     } else {
         drawn.first
--- a/crates/mimosa-schedule/tests/speed.rs
+++ b/crates/mimosa-schedule/tests/speed.rs
@@ -203,6 +203,26 @@
     expect_that!(draw(&[], 7), none());
 }
 
+/// Guards against traffic between data centres that gains nothing, while the load of remote endpoints is not
+/// known.
+#[gtest]
+fn a_local_endpoint_is_preferred_unless_a_remote_one_is_better() {
+    let at = |time_permille, is_local, load: Option<u64>| {
+        let mut each = rated(time_permille, 0);
+        each.candidate.is_local = is_local;
+        each.candidate.reported_load = load;
+        each
+    };
+    let remote = at(1_000, false, None);
+    let counts = shares(&[at(1_000, true, Some(0)), remote, remote]);
+    // Both drawn endpoints are remote in one of 15 cases.
+    expect_that!(counts[0], ge(9_000));
+    let overloaded = shares(&[at(1_000, true, Some(40)), at(1_000, false, Some(0))]);
+    expect_that!(overloaded[1], eq(10_000));
+    let idle = shares(&[at(1_000, true, Some(0)), at(950, false, Some(0))]);
+    expect_that!(idle[0], eq(10_000));
+}
+
 /// Guards against requests to an endpoint that is full while the gateway knows of a better one.
 #[gtest]
 fn the_endpoint_known_to_be_better_is_selected() {
