Expect the reports of distant gateways late

Cause: a prefill counted as overdue 10 ms after its expected end at the endpoint, but its report also takes the way over the gateway to the leader. With gateways in other regions, endpoints would have waited for each report before the next prompt.

Change: the scheduler learns the usual delay of reports (80% quantile, at most 100 ms) and counts from there.

--- a/crates/mimosa-schedule/src/fleet.rs
+++ b/crates/mimosa-schedule/src/fleet.rs
@@ -314,6 +314,9 @@
         };
         let latency = self.estimates.prefill_latency();
         if let Some(endpoint) = self.endpoints.get_mut(prefill) {
+            if let Some(speeds) = &mut self.speeds {
+                speeds.record_delay(endpoint.overdue(now, latency));
+            }
             let is_measurable = endpoint.finish_prefill(now, id, latency);
             endpoint.record_success();
             if is_measurable {
--- a/crates/mimosa-schedule/src/fleet/speeds.rs
+++ b/crates/mimosa-schedule/src/fleet/speeds.rs
@@ -36,6 +36,9 @@
     decode: SpeedTable,
     /// When each endpoint last got a request.
     placed_at: BTreeMap<EndpointId, Timestamp>,
+    /// Usual delay of the reports that a prompt was processed. It is that of the messages between the
+    /// scheduler and distant gateways.
+    usual_delay: Duration,
 }
 
 impl EndpointSpeeds {
@@ -81,6 +84,20 @@
         self.placed_at.retain(|id, _| keeps(id));
     }
 
+    /// Records by how much the report of a prefill was later than expected. The usual delay is kept at the
+    /// quantile of the delays that excludes the prefills in an episode, of which there are 15%.
+    pub(super) fn record_delay(&mut self, delay: Duration) {
+        const STEP: Duration = Duration::from_millis(2);
+        const QUANTILE_PERMILLE: u32 = 800;
+        /// Longer delays are not those of messages.
+        const MAX_DELAY: Duration = Duration::from_millis(100);
+        let up = STEP * QUANTILE_PERMILLE / WHOLE_PERMILLE;
+        self.usual_delay = match delay > self.usual_delay {
+            true => (self.usual_delay + up).min(MAX_DELAY),
+            false => self.usual_delay.saturating_sub(STEP - up),
+        };
+    }
+
     /// Records that an endpoint got a request.
     pub(super) fn record_placement(&mut self, now: Timestamp, endpoint: &EndpointId) {
         self.placed_at.insert(endpoint.clone(), now);
@@ -182,16 +199,17 @@
     }
 
     /// Expected time at which a prefill endpoint has processed its prompts. A prompt that takes longer
-    /// than expected is assumed to take as long again: the endpoint is slow at this moment, and the
+    /// than expected, beyond the usual delay of reports, is assumed to take as long again: the endpoint is slow at this moment, and the
     /// next prompt is better sent to another one.
     pub(super) fn prefill_free_at(&self, now: Timestamp, endpoint: &FleetEndpoint) -> Timestamp {
         /// Delay of a response that says nothing about the endpoint.
         const MIN_OVERDUE: Duration = Duration::from_millis(10);
         let free_at = endpoint.free_at(now);
-        if self.speeds.is_none() {
+        let Some(speeds) = &self.speeds else {
             return free_at;
-        }
+        };
         let overdue = endpoint.overdue(now, self.estimates.prefill_latency());
+        let overdue = overdue.saturating_sub(speeds.usual_delay);
         if overdue < MIN_OVERDUE {
             return free_at;
         }
--- a/crates/mimosa-schedule/tests/fleet/speeds.rs
+++ b/crates/mimosa-schedule/tests/fleet/speeds.rs
@@ -125,6 +125,41 @@
     }
 }
 
+/// Guards against endpoints that stay idle until a distant gateway has reported each prompt.
+#[gtest]
+fn reports_that_are_always_late_do_not_keep_the_next_prompt_away() {
+    let mut fleet = fleet(true, 1, 2);
+    let delay = Duration::from_millis(40);
+    let took = Duration::from_millis(100);
+    let mut now = START;
+    for number in 0..60 {
+        now = START + Duration::from_secs(number);
+        submit(&mut fleet, now, number).unwrap();
+        let reported = now + took + delay;
+        fleet.handle(
+            reported,
+            Event::Prefilled {
+                id: id(number),
+                took,
+            },
+        );
+        fleet.handle(reported, Event::Started { id: id(number) });
+        let end = RunEnd::Complete(Tokens(OUTPUT));
+        let end = Event::Ended {
+            id: id(number),
+            end,
+        };
+        fleet.handle(reported + Duration::from_millis(280), end);
+    }
+    now = now + Duration::from_secs(1);
+    submit(&mut fleet, now, 100).unwrap();
+    // The prompt was processed after 100 ms; its report is under way.
+    expect_that!(
+        submit(&mut fleet, now + Duration::from_millis(125), 101),
+        some(anything())
+    );
+}
+
 /// Guards against a stated figure that is older than the episode, and against one without the feature.
 #[gtest]
 fn a_fresh_stated_figure_decides_between_equal_endpoints() {
