--- a/crates/mimosa-gateway/src/speed/select.rs
+++ b/crates/mimosa-gateway/src/speed/select.rs
@@ -125,7 +125,8 @@
     let Some(service) = request.table.service(&request.service) else {
         return;
     };
-    let max_connections = upstream::max_connections(Some(service));
+    // The other half stays free for requests if the calls take long.
+    let max_connections = upstream::max_connections(Some(service)) / 2;
     let mut calls = Vec::new();
     for endpoint in endpoints {
         if !shared.speeds.take_call(shared.now()) {
