--- a/crates/mimosa-control/src/routing.rs
+++ b/crates/mimosa-control/src/routing.rs
@@ -42,6 +42,7 @@
 pub mod metrics;
 pub mod published;
 pub mod rollouts;
+pub mod speeds;
 
 /// Maximum size of a routing document; fits some hundred thousand routes.
 pub const MAX_DOCUMENT_BYTES: usize = 32 << 20;
--- a/crates/mimosa-control/src/routing/dispatch/inner.rs
+++ b/crates/mimosa-control/src/routing/dispatch/inner.rs
@@ -17,6 +17,7 @@
 use mimosa_protocol::AccountId;
 use mimosa_protocol::DataCentreId;
 use mimosa_protocol::EndpointId;
+use mimosa_protocol::Features;
 use mimosa_protocol::Incarnation;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::ServiceId;
@@ -50,6 +51,7 @@
 use crate::routing::metrics::Metrics;
 use crate::routing::published::PublishedList;
 use crate::routing::rollouts::RolloutDriver;
+use crate::routing::speeds::ServiceSpeeds;
 
 /// Time in which gateways report their running requests to a new leader before it places new ones.
 const TAKEOVER_DELAY: Duration = Duration::from_millis(200);
@@ -59,6 +61,7 @@
 #[derive(Default)]
 pub(super) struct Inner {
     pub(super) metrics: Metrics,
+    pub(super) features: Features,
     pub(super) leads: bool,
     pub(super) lead_since: Timestamp,
     /// When the state of the schedulers was last logged.
@@ -74,6 +77,8 @@
     pub(super) quotas: Quotas,
     /// Prompt parts and requests that may crash endpoints.
     pub(super) quarantine: PartQuarantine,
+    /// Speeds of plain endpoints.
+    pub(super) speeds: ServiceSpeeds,
     /// The overloaded accounts that were last published, with the admitted part in thousandths.
     pub(super) overloaded: BTreeMap<AccountId, u16>,
     /// When they were last published.
@@ -230,10 +235,15 @@
 
     pub(super) fn handle(&mut self, now: Timestamp, service: &ServiceId, event: Event) {
         let wait_until = self.lead_since + TAKEOVER_DELAY;
+        let settings = Settings {
+            endpoint_speeds: self.features.endpoint_speeds,
+            stated_speeds: self.features.stated_speeds,
+            ..Settings::default()
+        };
         let fleet = self
             .fleets
             .entry(service.clone())
-            .or_insert_with(|| FleetScheduler::new(Settings::default(), wait_until));
+            .or_insert_with(|| FleetScheduler::new(settings, wait_until));
         let actions = fleet.handle(now, event);
         self.execute(now, actions);
     }
--- a/crates/mimosa-control/src/server.rs
+++ b/crates/mimosa-control/src/server.rs
@@ -356,7 +356,8 @@
             rollouts,
             metrics: self.metrics.clone(),
         };
-        let dispatcher = Arc::new(Dispatcher::new(components, self.settings.quota_tolerance));
+        let dispatcher = Dispatcher::new(components, self.settings.quota_tolerance);
+        let dispatcher = Arc::new(dispatcher.with_features(self.settings.features));
         self.dispatcher = Some(Arc::clone(&dispatcher));
         self.tasks.spawn(Arc::clone(&dispatcher).run());
         let balancer = Balancer {
--- a/crates/mimosa-control/src/settings.rs
+++ b/crates/mimosa-control/src/settings.rs
@@ -12,6 +12,7 @@
 use mimosa_limit::quota::Tolerance;
 use mimosa_memory::sizes::ProcessLimits;
 use mimosa_protocol::DataCentreId;
+use mimosa_protocol::Features;
 use mimosa_protocol::Incarnation;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::OperatorId;
@@ -63,6 +64,8 @@
     pub quota_tolerance: Tolerance,
     /// The limit on the requests to a version under test in a rollout.
     pub exposure: ExposureSettings,
+    /// Features that are enabled.
+    pub features: Features,
     /// Time without a message of the leader after which a follower starts an election.
     pub election_timeout: Duration,
     /// Interval of the leader's heartbeats to the other control instances.
@@ -165,6 +168,7 @@
             voter_policy: None,
             quota_tolerance: Tolerance::default(),
             exposure: ExposureSettings::default(),
+            features: Features::default(),
             election_timeout: Duration::from_millis(1_000),
             replica_heartbeat: Duration::from_millis(100),
             snapshot_after: 4_096,
--- a/crates/mimosa-gateway/src/lib.rs
+++ b/crates/mimosa-gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod rollout;
 mod serve;
 mod shared;
+mod speed;
 mod upstream;
 
 pub mod dialect;
--- a/crates/mimosa-gateway/src/plain.rs
+++ b/crates/mimosa-gateway/src/plain.rs
@@ -12,6 +12,7 @@
 
 use crate::dialect::Step;
 use crate::directory::EndpointEntry;
+use crate::directory::EndpointSet;
 use crate::head::IdentifiedRequest;
 use crate::part_quarantine::TrackedRun;
 use crate::relay;
@@ -22,6 +23,7 @@
 use crate::rollout::Selected;
 use crate::rollout::TakenPermit;
 use crate::shared::Shared;
+use crate::speed;
 use crate::upstream;
 use crate::upstream::CallFailure;
 use crate::upstream::ClientRequest;
@@ -60,7 +62,7 @@
             break;
         }
         let endpoints = shared.directory.endpoints();
-        let selected = rollout::select_endpoint(shared, now, &endpoints, request, &tried);
+        let selected = select_endpoint(shared, now, &endpoints, request, &tried).await;
         let Some(Selected { endpoint, permit }) = selected else {
             break;
         };
@@ -105,6 +107,25 @@
     last.into_result(retry_after)
 }
 
+/// Selects an endpoint that was not tried yet; `None` if there is no usable one. While a rollout of the
+/// service runs, the versions decide.
+async fn select_endpoint(
+    shared: &Arc<Shared>,
+    now: Timestamp,
+    endpoints: &EndpointSet,
+    request: &IdentifiedRequest,
+    tried: &[Arc<EndpointEntry>],
+) -> Option<Selected> {
+    if shared.speeds.asks_for_load() && !shared.rollouts.restricts(&request.service) {
+        let endpoint = speed::select::select_endpoint(shared, endpoints, request, tried).await?;
+        return Some(Selected {
+            endpoint,
+            permit: None,
+        });
+    }
+    rollout::select_endpoint(shared, now, endpoints, request, tried)
+}
+
 /// Returns the permit of an attempt of which nothing was sent.
 fn give_back(shared: &Shared, permit: Option<TakenPermit>) {
     if let Some(permit) = permit {
--- a/crates/mimosa-gateway/src/relay.rs
+++ b/crates/mimosa-gateway/src/relay.rs
@@ -84,6 +84,9 @@
             if let Some(versioned) = versioned {
                 versioned.record_response(shared, now, !is_failed);
             }
+            if head.status.is_success() {
+                shared.speeds.record_answer(now, &endpoint, now.since(sent));
+            }
             endpoint.pool.put(now, connection);
             tracked.record_sound(now, shared);
             upstream::remove_hop_by_hop(&mut head.headers);
--- a/crates/mimosa-gateway/src/rollout.rs
+++ b/crates/mimosa-gateway/src/rollout.rs
@@ -154,6 +154,11 @@
 
 impl Rollouts {
     /// The latest rollout of a service; `None` if it had none.
+    /// Whether a rollout restricts the endpoints of a service.
+    pub(crate) fn restricts(&self, service: &ServiceId) -> bool {
+        self.views.load().contains_key(service)
+    }
+
     fn view(&self, service: &ServiceId) -> Option<Arc<RolloutView>> {
         self.views.load().get(service).cloned()
     }
--- a/crates/mimosa-gateway/src/settings.rs
+++ b/crates/mimosa-gateway/src/settings.rs
@@ -7,6 +7,7 @@
 use mimosa_hold::retry::RetrySettings;
 use mimosa_protocol::ByteSize;
 use mimosa_protocol::DataCentreId;
+use mimosa_protocol::Features;
 use mimosa_protocol::InstanceId;
 
 pub use mimosa_memory::sizes::ProcessLimits;
@@ -34,6 +35,8 @@
     /// Bytes of request bodies that one endpoint holds for all gateways together, where the memory of
     /// the process is limited.
     pub endpoint_bodies: ByteSize,
+    /// Features that are enabled.
+    pub features: Features,
     /// Settings that can change while the gateway runs.
     pub reloadable: Reloadable,
 }
--- a/crates/mimosa-gateway/src/shared.rs
+++ b/crates/mimosa-gateway/src/shared.rs
@@ -33,6 +33,7 @@
 use crate::rollout::Rollouts;
 use crate::settings::Reloadable;
 use crate::settings::Settings;
+use crate::speed::KnownSpeeds;
 
 /// Part of the drain time, in thousandths, during which new streams are accepted. The platform
 /// takes several seconds to stop sending requests, and a stream can last for most of the drain
@@ -63,6 +64,8 @@
     pub(crate) suspects: KnownSuspects,
     /// Rollouts of services to new versions.
     pub(crate) rollouts: Rollouts,
+    /// Speeds of endpoints.
+    pub(crate) speeds: KnownSpeeds,
     pub(crate) metrics: Metrics,
     pub(crate) memory: GatewayMemory,
     pub(crate) client_connections: ClientConnections,
@@ -94,6 +97,7 @@
         Self {
             reloadable: ArcSwap::from_pointee(settings.reloadable.clone()),
             reloaded: Notify::new(),
+            speeds: KnownSpeeds::new(settings.features),
             settings,
             incarnation: Incarnation(u64::from_le_bytes(seed)),
             dialect,
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -24,6 +24,7 @@
 use mimosa_protocol::ExecutionStatus;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::configuration::EndpointRole;
+use mimosa_route::RoutedService;
 use mimosa_route::message::GatewayMessage;
 use mimosa_schedule::cold::Pacing;
 use mimosa_schedule::pick::Candidate;
@@ -58,6 +59,7 @@
 ];
 /// Age up to which a reported load is used for endpoint selection.
 const REPORTED_LOAD_TTL: Duration = Duration::from_millis(500);
+const WHOLE_PERMILLE: u32 = 1_000;
 /// Share of an endpoint's connections available to one gateway, as a divisor.
 const CONNECTION_SHARE_DIVISOR: u32 = 6;
 /// Connections to an endpoint that a gateway may always open.
@@ -170,17 +172,35 @@
     request: &IdentifiedRequest,
     usable: &[&Arc<EndpointEntry>],
 ) -> Option<Arc<EndpointEntry>> {
-    let pacing = cold_pacing(shared, request)?;
     let candidates: Vec<_> = usable
         .iter()
         .map(|each| candidate(shared, now, each))
         .collect();
     let selected = usable[pick(&candidates, shared.random())?];
-    selected.cold().record_request(now, pacing);
-    selected.rate_limit().record_request(now, shared.senders());
+    record_selection(shared, now, request, selected);
     Some(Arc::clone(selected))
 }
 
+/// Counts a request to an endpoint against the limits of its cold start and of its rate.
+pub(crate) fn record_selection(
+    shared: &Shared,
+    now: Timestamp,
+    request: &IdentifiedRequest,
+    selected: &EndpointEntry,
+) {
+    if let Some(pacing) = cold_pacing(shared, request) {
+        selected.cold().record_request(now, pacing);
+    }
+    selected.rate_limit().record_request(now, shared.senders());
+}
+
+/// Maximum number of connections of this gateway to an endpoint of a service.
+pub(crate) fn max_connections(service: Option<&RoutedService>) -> u32 {
+    service.map_or(MIN_CONNECTIONS, |service| {
+        (service.max_connections / CONNECTION_SHARE_DIVISOR).max(MIN_CONNECTIONS)
+    })
+}
+
 /// Shortest time after which an endpoint of the request's service and role takes a request from this
 /// gateway; `None` if none of them asked for fewer.
 pub(crate) fn time_to_endpoint(
@@ -200,7 +220,7 @@
     waits.min()
 }
 
-fn candidate(shared: &Shared, now: Timestamp, endpoint: &EndpointEntry) -> Candidate {
+pub(crate) fn candidate(shared: &Shared, now: Timestamp, endpoint: &EndpointEntry) -> Candidate {
     let health = endpoint.health();
     let reported_load = endpoint
         .reported_load()
@@ -208,6 +228,10 @@
         .map(|(_, load)| u64::from(load.running) + u64::from(load.waiting));
     let own_load = u64::from(endpoint.in_flight.load(Ordering::Relaxed));
     let is_prefill = endpoint.listed.role == EndpointRole::Prefill;
+    let current_permille = shared.speeds.current_permille(now, endpoint);
+    let latency = health
+        .latency()
+        .map(|latency| latency * current_permille / WHOLE_PERMILLE);
     Candidate {
         own_load,
         reported_load,
@@ -217,7 +241,7 @@
         } else {
             u64::from(endpoint.listed.slots)
         },
-        latency: health.latency().filter(|_| !is_prefill),
+        latency: latency.filter(|_| !is_prefill),
         failure_permille: health.failure_permille(now),
         // Cold endpoints have little capacity, so they are used only if there is no other.
         last_resort: health.is_backing_off(now) || endpoint.cold().is_cold(now),
@@ -265,10 +289,7 @@
         }
     };
     let service = request.table.service(&request.service);
-    let max_connections = service.map_or(MIN_CONNECTIONS, |service| {
-        (service.max_connections / CONNECTION_SHARE_DIVISOR).max(MIN_CONNECTIONS)
-    });
-    let mut connection = match endpoint.pool.take(now, max_connections).await {
+    let mut connection = match endpoint.pool.take(now, max_connections(service)).await {
         Ok(connection) => connection,
         Err(PoolError::Refused | PoolError::Unreachable) => {
             endpoint.health().record_unreachable(shared.now());
@@ -311,6 +332,11 @@
     if let Some(load) = dialect.reported_load(response.headers()) {
         endpoint.set_reported_load(now, load);
     }
+    if let Some(percent) = dialect.stated_percent(response.headers())
+        && let Some(report) = shared.speeds.record_percent(now, endpoint, percent)
+    {
+        shared.placement.send_to_leader(report);
+    }
     let call = SentCall {
         attempt: &request.metadata.attempt_id,
         step: &step,
--- a/crates/mimosa-schedule/src/fleet.rs
+++ b/crates/mimosa-schedule/src/fleet.rs
@@ -38,6 +38,7 @@
 mod pools;
 mod queue;
 mod settings;
+mod speeds;
 
 pub use self::message::Action;
 pub use self::message::Event;
@@ -57,6 +58,7 @@
 use self::forecast::MemoryLoad;
 use self::permits::Permits;
 use self::queue::QueuedRequest;
+use self::speeds::EndpointSpeeds;
 
 /// Longest time after which clients are told to retry when all endpoints are limited. Limits change as
 /// endpoints recover.
@@ -79,6 +81,8 @@
     queue: Vec<QueuedRequest>,
     runs: BTreeMap<GatewayRequestId, Run>,
     estimates: EngineEstimates,
+    /// Speeds of single endpoints; `None` if all are assumed to be equally fast.
+    speeds: Option<EndpointSpeeds>,
     /// Whether the endpoints are known. Requests are queued before that.
     is_configured: bool,
     tries: u64,
@@ -110,6 +114,7 @@
                 settings.initial_prefill_rate,
                 settings.initial_token_time,
             ),
+            speeds: settings.endpoint_speeds.then(EndpointSpeeds::default),
             settings,
             view: View::default(),
             endpoints: BTreeMap::new(),
@@ -134,8 +139,9 @@
     }
 
     /// Resources used by an average request; `None` before enough requests have completed.
-    pub fn demand(&self) -> Option<Demand> {
-        self.estimates.demand(self.view.memory)
+    pub fn demand(&self, now: Timestamp) -> Option<Demand> {
+        let demand = self.estimates.demand(self.view.memory)?;
+        Some(self.demand_at_endpoints(now, demand))
     }
 
     /// Number of permits that were granted last and not used, even if their lease has ended.
@@ -192,7 +198,7 @@
         format!(
             "waiting={} running={} prefill_tokens_per_s={} prefill_latency_us={} token_us={} \
              prefill={} decode={} \
-             endpoints=[{}] unnamed={omitted}",
+             endpoints=[{}] unnamed={omitted}{}",
             self.queue.len(),
             self.runs.len(),
             self.estimates.prefill_rate(),
@@ -200,7 +206,8 @@
             self.estimates.token_time().as_micros(),
             pools.prefill,
             pools.decode,
-            endpoints.join(" ")
+            endpoints.join(" "),
+            self.speeds_summary(now)
         )
     }
 
@@ -227,6 +234,7 @@
                 endpoints,
                 until,
             } => self.permits.grant(rollout, permits, endpoints, until),
+            Event::Stated { endpoint, percent } => self.on_stated(now, &endpoint, percent),
             Event::Tick => {}
         }
         self.dispatch(now, &mut actions);
@@ -279,6 +287,9 @@
         self.permits
             .set_rollout(rollout.map(|rollout| rollout.number));
         self.open_versions = self.find_open_versions();
+        if let Some(speeds) = &mut self.speeds {
+            speeds.retain(|id| self.endpoints.contains_key(id));
+        }
         self.view = view;
         self.is_configured = true;
     }
@@ -353,9 +364,16 @@
         };
         let latency = self.estimates.prefill_latency();
         if let Some(endpoint) = self.endpoints.get_mut(prefill) {
+            if let Some(speeds) = &mut self.speeds {
+                speeds.record_delay(endpoint.overdue(now, latency));
+            }
             let is_measurable = endpoint.finish_prefill(now, id, latency);
             endpoint.record_success();
             if is_measurable {
+                if let Some(speeds) = &mut self.speeds {
+                    let expected = self.estimates.prefill_time(run.request.prompt) + latency;
+                    speeds.record_prefill(now, prefill, expected, took);
+                }
                 self.estimates.record_prefill(run.request.prompt, took);
             }
         }
@@ -400,6 +418,10 @@
                 let took = now.since(load.decode_start);
                 self.estimates
                     .record_completion(&run.request, *output, took);
+                if let Some(speeds) = &mut self.speeds {
+                    let running = endpoint.loads.len() + 1;
+                    speeds.record_decode(now, &run.placement.decode, running, *output, took);
+                }
             }
             (RunEnd::NoCapacity, _) => {
                 endpoint.no_capacity_until = now + self.settings.no_capacity_backoff
@@ -574,9 +596,15 @@
 
     /// Expected end times of the running requests in ascending order.
     fn expected_ends(&self, now: Timestamp) -> Vec<Timestamp> {
-        let loads = self.endpoints.values().flat_map(|each| each.loads.values());
-        let mut expected_ends: Vec<_> = loads
-            .map(|load| load.end(now, self.estimates.token_time()))
+        let mut expected_ends: Vec<_> = self
+            .endpoints
+            .iter()
+            .filter(|(_, each)| !each.loads.is_empty())
+            .flat_map(|(id, each)| {
+                let token_time = self.token_time_at(now, id, each.loads.len());
+                let loads = each.loads.values();
+                loads.map(move |load| load.end(now, token_time))
+            })
             .collect();
         expected_ends.sort_unstable();
         expected_ends
--- a/crates/mimosa-schedule/src/fleet/message.rs
+++ b/crates/mimosa-schedule/src/fleet/message.rs
@@ -178,6 +178,13 @@
         /// End of their lease.
         until: Timestamp,
     },
+    /// An endpoint stated how long work takes there at this moment.
+    Stated {
+        /// Endpoint that stated it; an unknown one is ignored.
+        endpoint: EndpointId,
+        /// Duration of work in percent of the usual one.
+        percent: u16,
+    },
     /// Timer event, requested through `next_wake`.
     Tick,
 }
@@ -190,6 +197,7 @@
             Self::GatewayLost { .. } => true,
             Self::Submit(_) | Self::Adopt(_) | Self::Started { .. } | Self::Tick => false,
             Self::GrantPermits { permits, .. } => *permits > 0,
+            Self::Stated { .. } => false,
             Self::Limited { max_rate, .. } => max_rate.is_none(),
         }
     }
--- a/crates/mimosa-schedule/src/fleet/placing.rs
+++ b/crates/mimosa-schedule/src/fleet/placing.rs
@@ -80,14 +80,16 @@
                 decode,
             });
         }
-        let prefill_time = self.estimates.prefill_time(request.prompt);
         let mut in_pool = self.in_pool(pool);
         let has_prefill_pool = in_pool.any(|(_, each)| each.is_prefill());
         let prefill = self
             .free_prefills(now)
             .filter(|(id, each, _)| pool.contains(id, each))
             .filter(|(id, ..)| !self.avoids(request, pool, id))
-            .min_by_key(|(_, each, free_at)| (!each.is_in(&request.data_centre), *free_at));
+            .min_by_key(|(id, each, free_at)| {
+                let rank = self.prefill_rank(now, id, *free_at, request.prompt);
+                (!each.is_in(&request.data_centre), rank)
+            });
         if has_prefill_pool && prefill.is_none() {
             if self.prefill_pool_meets_target(now, index, queued, pool) {
                 return None;
@@ -97,6 +99,10 @@
         let prefill_start = prefill
             .as_ref()
             .map_or(now, |(.., free_at)| (*free_at).max(now));
+        let prefill_time = match &prefill {
+            Some((id, ..)) => self.prefill_time_at(now, id, request.prompt),
+            None => self.estimates.prefill_time(request.prompt),
+        };
         let prefill_end = prefill_start + prefill_time + self.estimates.prefill_latency();
         let decode_start = prefill_end + self.settings.first_output_time;
         let load = self.estimates.memory_load(request, decode_start);
@@ -133,7 +139,7 @@
         let usable = in_pool.filter(|each| each.is_prefill());
         let free_at: Vec<Timestamp> = usable
             .filter(|each| each.accepts_work(now, pacing))
-            .map(|each| each.free_at(now).max(now))
+            .map(|each| self.prefill_free_at(now, each).max(now))
             .collect();
         let Some(first_free) = free_at.iter().min() else {
             return false;
@@ -190,7 +196,7 @@
         self.endpoints
             .iter()
             .filter(move |(_, each)| each.is_prefill() && each.accepts_work(now, pacing))
-            .map(move |(id, each)| (id, each, each.free_at(now)))
+            .map(move |(id, each)| (id, each, self.prefill_free_at(now, each)))
             .filter(move |(.., free_at)| *free_at <= limit)
     }
 
@@ -223,13 +229,15 @@
     ) -> Option<EndpointId> {
         let Search { request, pool } = search;
         let memory = self.view.memory.0 * self.settings.max_fill_permille / 1_000;
-        let token_time = self.estimates.token_time();
         // A KV cache transfer between data centres takes twice as long and costs more.
         let distance_cost = |each: &FleetEndpoint| {
             let is_local =
                 cache_data_centre.is_some_and(|cache_data_centre| each.is_in(cache_data_centre));
             if is_local { 0 } else { load.prompt.0 }
         };
+        let cost = |memory: u64, id: &EndpointId, each: &FleetEndpoint, token_time| {
+            self.decode_cost(now, id, token_time, memory + distance_cost(each))
+        };
         let accepts_work = |each: &FleetEndpoint| {
             let pacing = self.view.cold_pacing;
             each.is_decode() && each.accepts_work(now, pacing) && now >= each.no_capacity_until
@@ -240,21 +248,23 @@
             .filter(|(_, each)| is_suitable(each))
             .filter(|(_, each)| each.loads.len() < self.view.slots as usize)
             .map(|(id, each)| {
+                let running = each.loads.len() + 1;
+                let token_time = self.token_time_at(now, id, running);
                 let current = forecast::current_memory(now, each.loads.values(), token_time);
-                (current + distance_cost(each), id, each)
+                (cost(current, id, each, token_time), id, each, token_time)
             })
             .collect();
         let max_forecasts = self.settings.max_forecasts;
         if candidates.len() > max_forecasts {
-            candidates.select_nth_unstable_by_key(max_forecasts, |(cost, id, _)| (*cost, *id));
+            candidates.select_nth_unstable_by_key(max_forecasts, |(cost, id, ..)| (*cost, *id));
             candidates.truncate(max_forecasts);
         }
         candidates
             .iter()
-            .filter_map(|(_, id, each)| {
+            .filter_map(|(_, id, each, token_time)| {
                 let loads = each.loads.values();
-                let peak = forecast::peak_within(now, loads, load, token_time, memory)?;
-                Some((peak + distance_cost(each), *id))
+                let peak = forecast::peak_within(now, loads, load, *token_time, memory)?;
+                Some((cost(peak, id, each, *token_time), *id))
             })
             .min()
             .map(|(_, id)| id.clone())
@@ -270,7 +280,7 @@
         let request = queued.request;
         let id = request.id.clone();
         let (prompt_endpoint, prefill_time) = match &placement.prefill {
-            Some(prefill) => (prefill, self.estimates.prefill_time(request.prompt)),
+            Some(prefill) => (prefill, self.prefill_time_at(now, prefill, request.prompt)),
             None => (&placement.decode, self.decode_prefill_time(&request)),
         };
         let mut prefill_end = now;
@@ -285,10 +295,13 @@
         if let Some(endpoint) = self.endpoints.get_mut(&placement.decode) {
             endpoint.loads.insert(id.clone(), load);
         }
-        for endpoint in placement.prefill.iter().chain([&placement.decode]) {
-            if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
+        for endpoint_id in placement.prefill.iter().chain([&placement.decode]) {
+            if let Some(endpoint) = self.endpoints.get_mut(endpoint_id) {
                 endpoint.record_request(now, self.view.cold_pacing);
             }
+            if let Some(speeds) = &mut self.speeds {
+                speeds.record_placement(now, endpoint_id);
+            }
         }
         let run = Run {
             request,
--- a/crates/mimosa-schedule/src/fleet/settings.rs
+++ b/crates/mimosa-schedule/src/fleet/settings.rs
@@ -80,6 +80,10 @@
     /// Maximum time for which a decode endpoint processes a prompt, in thousandths of the longest
     /// pause that callers accept, because the outputs there pause in the meantime.
     pub prompt_pause_permille: u32,
+    /// Whether the speed of each endpoint is learned and used.
+    pub endpoint_speeds: bool,
+    /// Whether this begins as soon as an endpoint of the service states how long work takes.
+    pub stated_speeds: bool,
     /// Backoff after an endpoint reported that it had no capacity.
     pub no_capacity_backoff: Duration,
 }
@@ -98,6 +102,8 @@
             initial_token_time: Duration::from_micros(700),
             decode_prefill_factor: 2,
             prompt_pause_permille: 650,
+            endpoint_speeds: false,
+            stated_speeds: false,
             no_capacity_backoff: Duration::from_millis(300),
         }
     }
--- a/src/command/demo/gateway.rs
+++ b/src/command/demo/gateway.rs
@@ -84,6 +84,7 @@
             control_port: control.entry_address().port(),
             limits: ProcessLimits::default(),
             endpoint_bodies: DEFAULT_ENDPOINT_BODIES,
+            features: mimosa_protocol::Features::default(),
             reloadable: Reloadable {
                 seeds: BTreeSet::from([control_id]),
                 ..Reloadable::default()
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,10 +9,13 @@
 use mimosa_config::GatewaySettings;
 use mimosa_config::InstanceSettings;
 use mimosa_config::LimitSettings;
+use mimosa_config::Settings;
 use mimosa_consensus::VoterPolicy;
 use mimosa_control::settings::Discovery;
 use mimosa_gateway::settings::RetryLimits;
 use mimosa_limit::quota::Tolerance;
+use mimosa_platform::contracts;
+use mimosa_protocol::Features;
 use mimosa_protocol::InstanceId;
 use mimosa_rollout::exposure::ExposureSettings;
 use mimosa_rollout::exposure::PERMIT_LEASE;
@@ -23,6 +26,11 @@
 /// A control instance without a vote that is silent for this long is removed from the replicas.
 const REMOVE_LEARNER_AFTER: Duration = Duration::from_secs(20);
 
+/// The features that the file enables: those of the platform's contracts and those of `[features]`.
+pub fn features(settings: &Settings) -> Features {
+    contracts::features(&settings.platform.contracts).union(settings.features)
+}
+
 /// Settings of a control instance. With seeds it discovers the other replicas, keeps enough voters
 /// for the tolerated losses and uses the configured election timeout; without seeds the replicas
 /// are those of the file.
@@ -30,6 +38,7 @@
     instance: &InstanceSettings,
     limits: &LimitSettings,
     settings: ControlSettings,
+    features: Features,
 ) -> mimosa_control::Settings {
     let routing = settings.routing.unwrap_or_default();
     let seeds: BTreeSet<InstanceId> = instance_ids(&routing.seeds).collect();
@@ -65,6 +74,7 @@
         }),
         quota_tolerance: quota_tolerance(&routing),
         exposure: exposure(&routing),
+        features,
         election_timeout: if has_seeds {
             routing.election_timeout
         } else {
@@ -93,6 +103,7 @@
     instance: &InstanceSettings,
     limits: &LimitSettings,
     settings: GatewaySettings,
+    features: Features,
 ) -> mimosa_gateway::Settings {
     mimosa_gateway::Settings {
         instance: instance.id.clone(),
@@ -104,6 +115,7 @@
         control_port: settings.control_port,
         limits: limits.resolve(),
         endpoint_bodies: settings.endpoint_bodies,
+        features,
         reloadable: gateway_reloadable(&settings),
     }
 }
