Queue requests for models by weighted fair shares of the accounts

Cause: requests are ordered by (late, cache, priority, target) over all accounts, so an account that sends six times its usual load crowds out the others.

Change: mimosa_schedule::fair_share ranks queued requests by start-time fair queueing, weighted by quota rates. The cost is the memory in tokens multiplied by the time held, charged at placement by forecast and corrected at the end. FleetScheduler uses it if the view has weights, which the leader hands in with the feature fair_shares. Requests that are forecast to miss their deadline are refused at once, with the time at which the share of their account is expected, and a client that returns then goes before newcomers of its account.

The tests of mimosa-schedule, -control, -gateway and -route pass.

--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -58,6 +58,15 @@
 /// its connection reconnects sooner.
 const GATEWAY_RECONNECT_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// How the leader treats accounts.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SchedulingPolicy {
+    /// How far accounts may exceed their quotas.
+    pub tolerance: Tolerance,
+    /// Whether requests are queued by fair shares of the accounts.
+    pub has_fair_shares: bool,
+}
+
 /// The schedulers of the leader.
 pub struct Dispatcher {
     replicator: Arc<dyn Replicator>,
@@ -80,7 +89,7 @@
         shared: Arc<SharedState>,
         format: Arc<dyn DocumentFormat>,
         endpoints: watch::Receiver<Arc<PublishedList>>,
-        tolerance: Tolerance,
+        policy: SchedulingPolicy,
         metrics: Metrics,
     ) -> Self {
         Self {
@@ -94,7 +103,8 @@
             suspect_changes: watch::Sender::default(),
             inner: Mutex::new(Inner {
                 metrics: metrics.clone(),
-                tolerance,
+                tolerance: policy.tolerance,
+                has_fair_shares: policy.has_fair_shares,
                 ..Inner::default()
             }),
             metrics,
@@ -432,6 +442,9 @@
                 if fleet.waiting() + fleet.running() > 0 {
                     info!("service={service} {}", fleet.summary(now));
                 }
+                if let Some(shares) = fleet.share_summary() {
+                    info!("service={service} {shares}");
+                }
             }
         }
     }
@@ -509,6 +522,7 @@
                 false => InitialLevel::Full,
             };
             inner.configure_quotas(now, initial_level);
+            inner.configure_weights();
         }
         inner.published = published;
         inner.configure_fleets(now);
--- a/crates/mimosa-control/src/routing/dispatch/inner.rs
+++ b/crates/mimosa-control/src/routing/dispatch/inner.rs
@@ -28,6 +28,7 @@
 use mimosa_route::RouteTable;
 use mimosa_route::message::ControlMessage;
 use mimosa_schedule::cold::Pacing;
+use mimosa_schedule::fair_share::Weights;
 use mimosa_schedule::fleet::Action;
 use mimosa_schedule::fleet::Event;
 use mimosa_schedule::fleet::FleetScheduler;
@@ -75,6 +76,10 @@
     pub(super) overloaded_at: Timestamp,
     /// How far accounts may exceed their quotas.
     pub(super) tolerance: Tolerance,
+    /// Whether requests are queued by fair shares of the accounts.
+    pub(super) has_fair_shares: bool,
+    /// Weights of the accounts for fair shares; `None` if these are disabled.
+    pub(super) weights: Option<Arc<Weights>>,
     /// The quota charge of each waiting or placed request.
     pub(super) charges: HashMap<GatewayRequestId, Charge>,
     pub(super) published: Arc<PublishedList>,
@@ -122,6 +127,7 @@
                     cold_pacing: Pacing::single_sender(service.cold_start.per_kilosecond),
                     max_pause: self.table.event_gap_target(&service.id),
                     endpoints: self.view_endpoints(now, &service.id),
+                    weights: self.weights.clone(),
                 };
                 Some((service.id.clone(), view))
             })
@@ -146,6 +152,16 @@
         }
     }
 
+    /// Sets the weights of the accounts to their quota rates, if fair shares are enabled.
+    pub(super) fn configure_weights(&mut self) {
+        let accounts = self.table.configuration().accounts.iter();
+        let rates = accounts.filter_map(|account| {
+            let rate = TokenRate(account.quota?.rate.0);
+            Some((account.id.clone(), rate))
+        });
+        self.weights = self.has_fair_shares.then(|| Arc::new(Weights::new(rates)));
+    }
+
     pub(super) fn configure_quotas(&mut self, now: Timestamp, initial_level: InitialLevel) {
         let tolerance = self.tolerance;
         let accounts = self.table.configuration().accounts.iter();
--- a/crates/mimosa-control/src/server.rs
+++ b/crates/mimosa-control/src/server.rs
@@ -44,6 +44,7 @@
 use crate::routing::RoutingOrders;
 use crate::routing::balancer::Balancer;
 use crate::routing::dispatch::Dispatcher;
+use crate::routing::dispatch::SchedulingPolicy;
 use crate::routing::gateway_port::GatewayPort;
 use crate::routing::listing;
 use crate::routing::metrics::Metrics;
@@ -332,7 +333,10 @@
             Arc::clone(&self.shared),
             Arc::clone(&integration.format),
             endpoints.clone(),
-            self.settings.quota_tolerance,
+            SchedulingPolicy {
+                tolerance: self.settings.quota_tolerance,
+                has_fair_shares: self.settings.features.fair_shares,
+            },
             self.metrics.clone(),
         ));
         self.dispatcher = Some(Arc::clone(&dispatcher));
--- a/crates/mimosa-control/tests/dispatch.rs
+++ b/crates/mimosa-control/tests/dispatch.rs
@@ -244,6 +244,7 @@
             avoid: Vec::new(),
             exclude: Vec::new(),
             kv_cache_at: None,
+            fingerprint: None,
         };
         let service = "verse".parse().unwrap();
         self.send(GatewayMessage::RequestPlacement { service, ask })
--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -75,6 +75,9 @@
     /// Number of executions that are still allowed.
     pub(crate) remaining: u32,
     kv_cache: Option<KvCacheLease>,
+    /// Fingerprint of the content, by which the leader recognises a client that it told to retry;
+    /// `None` if fair shares are disabled.
+    fingerprint: Option<u64>,
 }
 
 impl Attempts {
@@ -84,6 +87,7 @@
             tried: Vec::new(),
             remaining: max_attempts.max(1),
             kv_cache: None,
+            fingerprint: None,
         }
     }
 }
@@ -95,6 +99,10 @@
     client_request: &ClientRequest,
 ) -> Result<Response<Body>, Failure> {
     let mut attempts = Attempts::new(request.route.max_attempts);
+    if shared.settings.features.fair_shares {
+        // The lower half of a hash is a hash.
+        attempts.fingerprint = Some(client_request.parts.whole.0 as u64);
+    }
     let response = run_with_retries(shared, request, client_request, &mut attempts).await?;
     if !request.route.retry_policy.allows_resume() {
         return Ok(response);
@@ -466,6 +474,7 @@
             .kv_cache
             .as_ref()
             .map(|lease| lease.endpoint.listed.id.clone()),
+        fingerprint: attempts.fingerprint,
     }
 }
 
--- a/crates/mimosa-schedule/src/fleet.rs
+++ b/crates/mimosa-schedule/src/fleet.rs
@@ -13,9 +13,7 @@
 //! The scheduler takes `(now, event)` and returns actions. Its state is not persisted: a successor
 //! rebuilds it from the requests that the gateways hold.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
-use std::collections::BinaryHeap;
 use std::time::Duration;
 
 use mimosa_protocol::EndpointId;
@@ -26,13 +24,16 @@
 use crate::balance::Demand;
 use crate::balance::PoolSizes;
 
+mod dispatching;
 mod endpoint;
 mod estimates;
 mod forecast;
 mod message;
 mod placing;
 mod queue;
+mod refusals;
 mod settings;
+mod sharing;
 
 pub use self::message::Action;
 pub use self::message::Event;
@@ -50,10 +51,7 @@
 use self::estimates::EngineEstimates;
 use self::forecast::MemoryLoad;
 use self::queue::QueuedRequest;
-
-/// Longest time after which clients are told to retry when all endpoints are limited. Limits change as
-/// endpoints recover.
-const MAX_LIMIT_DELAY: Duration = Duration::from_secs(5);
+use self::sharing::Sharing;
 
 /// A placed request that has not ended.
 #[derive(Clone, Debug)]
@@ -81,6 +79,8 @@
     last_scan: Timestamp,
     /// Until this time nothing is placed, because gateways may still report running requests.
     handover_until: Timestamp,
+    /// Fair shares of the accounts; `None` if they are disabled.
+    sharing: Option<Sharing>,
 }
 
 impl FleetScheduler {
@@ -102,6 +102,7 @@
             endpoints: BTreeMap::new(),
             queue: Vec::new(),
             runs: BTreeMap::new(),
+            sharing: None,
         }
     }
 
@@ -244,6 +245,7 @@
         }
         self.view = view;
         self.is_configured = true;
+        self.configure_sharing(now);
     }
 
     fn submit(&mut self, now: Timestamp, request: PlacementRequest, actions: &mut Vec<Action>) {
@@ -265,10 +267,11 @@
                 retry_after: Duration::ZERO,
             });
         }
-        let queued = QueuedRequest::new(now, request, &self.settings);
+        let mut queued = QueuedRequest::new(now, request, &self.settings);
+        self.rank_submitted(now, &mut queued);
         let index = self
             .queue
-            .partition_point(|each| each.order() <= queued.order());
+            .partition_point(|each| each.compare(&queued).is_le());
         self.queue.insert(index, queued);
     }
 
@@ -291,7 +294,8 @@
             request: running.request,
             load,
         };
-        self.runs.insert(id, run);
+        self.runs.insert(id.clone(), run);
+        self.charge_run(now, &id);
     }
 
     fn on_prefilled(&mut self, now: Timestamp, id: &GatewayRequestId, took: Duration) {
@@ -334,6 +338,9 @@
         let Some(run) = self.runs.remove(id) else {
             return;
         };
+        let endpoint = self.endpoints.get(&run.placement.decode);
+        let load = endpoint.and_then(|each| each.loads.get(id)).copied();
+        self.settle_run(now, &run, &load.unwrap_or(run.load), end);
         let latency = self.estimates.prefill_latency();
         if let Some(prefill) = &run.placement.prefill
             && let Some(endpoint) = self.endpoints.get_mut(prefill)
@@ -367,168 +374,4 @@
         self.queue
             .retain(|each| each.request.id.gateway != *gateway);
     }
-
-    /// Places queued requests. With hundreds of running requests a try is expensive, and events
-    /// arrive faster than capacity is freed, so a request that found no capacity is tried again only
-    /// after capacity was freed or after [`Settings::rescan_interval`].
-    fn dispatch(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        self.refuse_expired(now, actions);
-        self.refuse_beyond_limits(now, actions);
-        if now < self.handover_until || self.queue.is_empty() {
-            return;
-        }
-        let is_due = now >= self.last_scan + self.settings.rescan_interval;
-        if self.has_new_capacity || is_due || self.has_freed_prefill(now) {
-            self.has_new_capacity = false;
-            self.last_scan = now;
-            self.queue
-                .iter_mut()
-                .for_each(|each| each.was_tried = false);
-        }
-        let lookahead = self.settings.lookahead;
-        let mut has_tried = false;
-        while let Some(index) = self
-            .queue
-            .iter()
-            .take(lookahead)
-            .position(|each| !each.was_tried)
-        {
-            has_tried = true;
-            self.tries += 1;
-            match self.find_placement(now, index, &self.queue[index]) {
-                Some(placement) => {
-                    let queued = self.queue.remove(index);
-                    actions.push(self.place(now, queued, placement));
-                }
-                None => self.queue[index].was_tried = true,
-            }
-        }
-        if has_tried {
-            self.refuse_unservable(now, actions);
-        }
-    }
-
-    /// Whether a prefill endpoint has come close enough to the end of its prompts since the last scan
-    /// to be sent another one.
-    fn has_freed_prefill(&self, now: Timestamp) -> bool {
-        let lookahead = self.settings.prefill_lookahead;
-        let mut prefills = self.endpoints.values().filter(|each| each.is_prefill());
-        prefills.any(|each| {
-            let free_at = each.last_processing_end().map(|at| at.minus(lookahead));
-            free_at.is_some_and(|at| self.last_scan < at && at <= now)
-        })
-    }
-
-    /// Refuses requests that are expected to wait for decode memory until their deadline. A queued
-    /// request gets memory when as many running requests have ended as are queued before it.
-    fn refuse_unservable(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        if !self.waits_for_memory(now) {
-            return;
-        }
-        let ends = self.expected_ends(now);
-        let retry_after = self.time_to_capacity(now);
-        let mut index = 0;
-        self.refuse_unless(actions, retry_after, |each| {
-            let end = ends.get(index).or(ends.last());
-            let keeps = end.is_none_or(|end| *end <= each.refuse_at);
-            index += usize::from(keeps);
-            keeps
-        });
-    }
-
-    /// Refuses requests that cannot start before their deadline because all decode endpoints are
-    /// limited. Each queued request starts in one of the next slots of these endpoints.
-    fn refuse_beyond_limits(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        if self.queue.is_empty() {
-            return;
-        }
-        let decodes = self.endpoints.values().filter(|each| each.is_decode());
-        let slots: Option<Vec<_>> = decodes
-            .map(|each| each.is_limited(now).then(|| each.next_slot(now)))
-            .collect();
-        let Some(slots) = slots.filter(|slots| !slots.is_empty()) else {
-            return;
-        };
-        let mut next_slots: BinaryHeap<_> = slots.into_iter().flatten().map(Reverse).collect();
-        let mut starts = Vec::new();
-        while starts.len() <= self.queue.len()
-            && let Some(Reverse((start, interval))) = next_slots.pop()
-        {
-            starts.push(start);
-            next_slots.push(Reverse((start + interval, interval)));
-        }
-        let backoff = self.settings.no_capacity_backoff;
-        let retry_after = starts
-            .last()
-            .map_or(MAX_LIMIT_DELAY, |start| start.since(now));
-        let retry_after = retry_after.clamp(backoff, MAX_LIMIT_DELAY);
-        let mut starts = starts.into_iter().peekable();
-        self.refuse_unless(actions, retry_after, |each| {
-            let is_in_time = |start: &Timestamp| *start <= each.refuse_at;
-            starts.next_if(is_in_time).is_some()
-        });
-    }
-
-    /// Refuses the queued requests for which `keeps` returns false.
-    fn refuse_unless(
-        &mut self,
-        actions: &mut Vec<Action>,
-        retry_after: Duration,
-        mut keeps: impl FnMut(&QueuedRequest) -> bool,
-    ) {
-        self.queue.retain(|each| {
-            let is_kept = keeps(each);
-            if !is_kept {
-                actions.push(Action::Refuse {
-                    id: each.request.id.clone(),
-                    reason: PlacementRefusal::TooLate,
-                    retry_after,
-                });
-            }
-            is_kept
-        });
-    }
-
-    /// Whether requests are queued although a prefill endpoint is available.
-    fn waits_for_memory(&self, now: Timestamp) -> bool {
-        !self.queue.is_empty() && self.free_prefills(now).next().is_some()
-    }
-
-    /// Refuses requests past their deadline and moves requests that will miss their target to the
-    /// end of the queue.
-    fn refuse_expired(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        if self.queue.is_empty() {
-            return;
-        }
-        let after_prefill = self.estimates.prefill_latency() + self.settings.first_output_time;
-        for each in &mut self.queue {
-            let needs = self.estimates.prefill_time(each.request.prompt) + after_prefill;
-            each.is_late = now + needs > each.target;
-        }
-        self.queue.sort_by_key(QueuedRequest::order);
-        if self.queue.iter().all(|each| now < each.refuse_at) {
-            return;
-        }
-        let retry_after = self.time_to_capacity(now);
-        self.refuse_unless(actions, retry_after, |each| now < each.refuse_at);
-    }
-
-    /// Expected end times of the running requests in ascending order.
-    fn expected_ends(&self, now: Timestamp) -> Vec<Timestamp> {
-        let loads = self.endpoints.values().flat_map(|each| each.loads.values());
-        let mut expected_ends: Vec<_> = loads
-            .map(|load| load.end(now, self.estimates.token_time()))
-            .collect();
-        expected_ends.sort_unstable();
-        expected_ends
-    }
-
-    /// Expected time until enough running requests have ended for all queued requests and one more.
-    fn time_to_capacity(&self, now: Timestamp) -> Duration {
-        let expected_ends = self.expected_ends(now);
-        let needed = self.queue.len().min(expected_ends.len().saturating_sub(1));
-        let time = expected_ends.get(needed).map(|end| end.since(now));
-        time.unwrap_or_default()
-            .max(self.settings.no_capacity_backoff)
-    }
 }
--- /dev/null
+++ b/crates/mimosa-schedule/src/fleet/dispatching.rs
@@ -0,0 +1,64 @@
+//! Selection of the queued requests that are placed in a decision.
+
+use mimosa_protocol::Timestamp;
+
+use super::FleetScheduler;
+use super::message::Action;
+
+impl FleetScheduler {
+    /// Places queued requests. With hundreds of running requests a try is expensive, and events
+    /// arrive faster than capacity is freed, so a request that found no capacity is tried again only
+    /// after capacity was freed or after [`Settings::rescan_interval`].
+    pub(super) fn dispatch(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        let has_shares = self.arrange(now, actions);
+        if !has_shares {
+            self.refuse_expired(now, actions);
+        }
+        self.refuse_beyond_limits(now, actions);
+        if now < self.handover_until || self.queue.is_empty() {
+            return;
+        }
+        let is_due = now >= self.last_scan + self.settings.rescan_interval;
+        if self.has_new_capacity || is_due || self.has_freed_prefill(now) {
+            self.has_new_capacity = false;
+            self.last_scan = now;
+            self.queue
+                .iter_mut()
+                .for_each(|each| each.was_tried = false);
+        }
+        let lookahead = self.settings.lookahead;
+        let mut has_tried = false;
+        while let Some(index) = self
+            .queue
+            .iter()
+            .take(lookahead)
+            .position(|each| !each.was_tried)
+        {
+            has_tried = true;
+            self.tries += 1;
+            match self.find_placement(now, index, &self.queue[index]) {
+                Some(placement) => {
+                    let queued = self.queue.remove(index);
+                    let id = queued.request.id.clone();
+                    actions.push(self.place(now, queued, placement));
+                    self.charge_run(now, &id);
+                }
+                None => self.queue[index].was_tried = true,
+            }
+        }
+        if has_tried && !has_shares {
+            self.refuse_unservable(now, actions);
+        }
+    }
+
+    /// Whether a prefill endpoint has come close enough to the end of its prompts since the last scan
+    /// to be sent another one.
+    pub(super) fn has_freed_prefill(&self, now: Timestamp) -> bool {
+        let lookahead = self.settings.prefill_lookahead;
+        let mut prefills = self.endpoints.values().filter(|each| each.is_prefill());
+        prefills.any(|each| {
+            let free_at = each.last_processing_end().map(|at| at.minus(lookahead));
+            free_at.is_some_and(|at| self.last_scan < at && at <= now)
+        })
+    }
+}
--- a/crates/mimosa-schedule/src/fleet/message.rs
+++ b/crates/mimosa-schedule/src/fleet/message.rs
@@ -51,6 +51,9 @@
         /// Endpoint that already holds the KV cache, if the prompt was processed before a failed
         /// decode.
         pub kv_cache_at: Option<EndpointId>,
+        /// Fingerprint of the content, equal if a client sends the request again; `None` if fair
+        /// shares are disabled at the gateway.
+        pub fingerprint: Option<u64>,
     }
 
     /// A running request, reported to a new scheduler.
--- a/crates/mimosa-schedule/src/fleet/settings.rs
+++ b/crates/mimosa-schedule/src/fleet/settings.rs
@@ -1,5 +1,6 @@
 //! Endpoints and settings of the fleet scheduler.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use mimosa_protocol::DataCentreId;
@@ -9,6 +10,7 @@
 use mimosa_protocol::configuration::EndpointRole;
 
 use crate::cold::Pacing;
+use crate::fair_share::Weights;
 
 /// Endpoints of a model service and their common properties.
 #[derive(Clone, Debug, Default)]
@@ -23,6 +25,8 @@
     pub max_pause: Option<Duration>,
     /// All endpoints that may get requests.
     pub endpoints: Vec<ViewEndpoint>,
+    /// Weights of the accounts, which enable fair shares; `None` disables them.
+    pub weights: Option<Arc<Weights>>,
 }
 
 /// An endpoint that may get requests.
--- /dev/null
+++ b/crates/mimosa-schedule/src/fleet/sharing.rs
@@ -0,0 +1,336 @@
+//! Fair shares of the accounts in the queue of the fleet scheduler.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use mimosa_protocol::Timestamp;
+
+use super::FleetScheduler;
+use super::GatewayRequestId;
+use super::Run;
+use super::forecast::MemoryLoad;
+use super::message::Action;
+use super::message::PlacementRefusal;
+use super::message::RunEnd;
+use super::queue::QueuedRequest;
+use crate::fair_share::FairShares;
+use crate::fair_share::ToldClients;
+use crate::fair_share::Weights;
+
+/// Length of the queue, as a multiple of the lookahead, up to which it is arranged in each decision.
+/// A longer one is arranged at the rescan interval, because a decision must not take longer the more
+/// requests are queued.
+const ARRANGED_LOOKAHEADS: usize = 4;
+/// Maximum number of accounts in a log line.
+const MAX_LISTED_ACCOUNTS: usize = 8;
+
+/// State of the fair shares.
+#[derive(Debug)]
+pub(super) struct Sharing {
+    pub(super) shares: FairShares,
+    told: ToldClients,
+    /// Charges of the runs.
+    charges: HashMap<GatewayRequestId, Charge>,
+    arranged_at: Timestamp,
+    /// Number of queued requests that were examined to rank them.
+    visits: u64,
+    /// Number of clients that returned when they were told to.
+    returned: u64,
+}
+
+/// The cost of a run that its account was charged, in token-seconds.
+#[derive(Clone, Copy, Debug)]
+struct Charge {
+    cost: f64,
+    placed_at: Timestamp,
+}
+
+impl Sharing {
+    fn new(weights: Arc<Weights>) -> Self {
+        Self {
+            shares: FairShares::new(weights),
+            told: ToldClients::default(),
+            charges: HashMap::new(),
+            arranged_at: Timestamp::ZERO,
+            visits: 0,
+            returned: 0,
+        }
+    }
+}
+
+impl FleetScheduler {
+    /// Number of queued requests that were examined to rank them so far; 0 without fair shares.
+    pub fn visits(&self) -> u64 {
+        self.sharing.as_ref().map_or(0, |sharing| sharing.visits)
+    }
+
+    /// Number of clients that were recognised as they returned when they were told to.
+    pub fn returned(&self) -> u64 {
+        self.sharing.as_ref().map_or(0, |sharing| sharing.returned)
+    }
+
+    /// Number of accounts with queued requests; 0 without fair shares.
+    pub fn waiting_accounts(&self) -> usize {
+        let sharing = self.sharing.as_ref().filter(|_| !self.queue.is_empty());
+        sharing.map_or(0, |sharing| sharing.shares.waiting_accounts())
+    }
+
+    /// Describes the accounts with the most queued requests in one line for the log, as
+    /// `account:requests/lead in token-seconds`; `None` without fair shares or queued requests.
+    pub fn share_summary(&self) -> Option<String> {
+        let sharing = self.sharing.as_ref().filter(|_| !self.queue.is_empty())?;
+        let accounts = sharing.shares.summary(MAX_LISTED_ACCOUNTS);
+        let accounts: Vec<String> = accounts
+            .iter()
+            .map(|each| {
+                let account = each.account.as_ref().map_or("none", |id| id.as_str());
+                format!("{account}:{}/{:.0}", each.waiting, each.lead)
+            })
+            .collect();
+        Some(format!(
+            "accounts_waiting={} returned={} shares=[{}]",
+            sharing.shares.waiting_accounts(),
+            sharing.returned,
+            accounts.join(" ")
+        ))
+    }
+
+    /// Enables or disables fair shares by the current view. When they are enabled, the running
+    /// requests are charged, which a new leader learns from the gateways.
+    pub(super) fn configure_sharing(&mut self, now: Timestamp) {
+        let Some(weights) = self.view.weights.clone() else {
+            self.sharing = None;
+            self.queue.iter_mut().for_each(|each| each.rank = None);
+            return;
+        };
+        if let Some(sharing) = &mut self.sharing {
+            return sharing.shares.set_weights(weights);
+        }
+        self.sharing = Some(Sharing::new(weights));
+        let runs: Vec<GatewayRequestId> = self.runs.keys().cloned().collect();
+        for id in &runs {
+            self.charge_run(now, id);
+        }
+    }
+
+    /// Charges the forecast cost of a run to its account.
+    pub(super) fn charge_run(&mut self, now: Timestamp, id: &GatewayRequestId) {
+        let (Some(sharing), Some(run)) = (&mut self.sharing, self.runs.get(id)) else {
+            return;
+        };
+        let placed_at = now.min(run.load.decode_start);
+        let cost = cost(
+            &run.load,
+            placed_at,
+            run.load.output.0,
+            self.estimates.token_time(),
+        );
+        let request = &run.request;
+        sharing
+            .shares
+            .charge(request.priority, &request.account, cost);
+        let charge = Charge { cost, placed_at };
+        sharing.charges.insert(id.clone(), charge);
+    }
+
+    /// Corrects the charge of a run that ended to the memory and time that it used. Runs that failed
+    /// with their endpoint are not charged.
+    pub(super) fn settle_run(
+        &mut self,
+        now: Timestamp,
+        run: &Run,
+        load: &MemoryLoad,
+        end: &RunEnd,
+    ) {
+        let Some(sharing) = &mut self.sharing else {
+            return;
+        };
+        let Some(charge) = sharing.charges.remove(&run.request.id) else {
+            return;
+        };
+        let used = match end {
+            RunEnd::Complete(output) => used_cost(now, load, charge.placed_at, output.0),
+            RunEnd::Aborted => {
+                let decoding = now.since(load.decode_start).as_secs_f64();
+                let token_time = self.estimates.token_time().as_secs_f64();
+                let output = (decoding / token_time.max(1e-9)) as u64;
+                let output = output.min(load.max_output.0);
+                used_cost(now, load, charge.placed_at, output)
+            }
+            RunEnd::NoCapacity | RunEnd::Unreachable(_) | RunEnd::EndpointLost(_) => 0.0,
+        };
+        let request = &run.request;
+        let correction = used - charge.cost;
+        sharing
+            .shares
+            .charge(request.priority, &request.account, correction);
+    }
+
+    /// Prepares a submitted request for the queue: recognises a client that returned as told, and
+    /// ranks the request.
+    pub(super) fn rank_submitted(&mut self, now: Timestamp, queued: &mut QueuedRequest) {
+        let Some(sharing) = &mut self.sharing else {
+            return;
+        };
+        if let Some(fingerprint) = queued.request.fingerprint {
+            queued.is_returning = sharing.told.take(now, fingerprint);
+            sharing.returned += u64::from(queued.is_returning);
+        }
+        let start = now + self.estimates.prefill_time(queued.request.prompt);
+        let load = self
+            .estimates
+            .memory_load(&queued.request, start + self.settings.first_output_time);
+        queued.cost = cost(&load, now, load.output.0, self.estimates.token_time());
+        sharing.visits += 1;
+        queued.rank = Some(sharing.shares.rank_newcomer(&queued.waiting(now)));
+    }
+
+    /// Arranges the queue by fair shares and refuses requests that cannot start in time, if this is
+    /// due. Returns whether fair shares are enabled.
+    pub(super) fn arrange(&mut self, now: Timestamp, actions: &mut Vec<Action>) -> bool {
+        let Some(sharing) = &mut self.sharing else {
+            return false;
+        };
+        sharing.shares.decay(now);
+        let is_short = self.queue.len() <= self.settings.lookahead * ARRANGED_LOOKAHEADS;
+        let is_due = now >= sharing.arranged_at + self.settings.rescan_interval;
+        if self.queue.is_empty() || !is_short && !is_due {
+            return true;
+        }
+        sharing.arranged_at = now;
+        sharing.visits += self.queue.len() as u64;
+        let after_prefill = self.estimates.prefill_latency() + self.settings.first_output_time;
+        for each in &mut self.queue {
+            let needs = self.estimates.prefill_time(each.request.prompt) + after_prefill;
+            each.is_late = now + needs > each.target;
+        }
+        let waiting: Vec<_> = self.queue.iter().map(|each| each.waiting(now)).collect();
+        let ranks = sharing.shares.arrange(&waiting);
+        for (each, rank) in self.queue.iter_mut().zip(ranks) {
+            each.rank = Some(rank);
+        }
+        self.queue.sort_by(QueuedRequest::compare);
+        self.refuse_beyond_share(now, actions);
+        true
+    }
+
+    /// Refuses requests that are not expected to start before their deadline in the present order.
+    /// Each client is told when the share of its account is expected.
+    fn refuse_beyond_share(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        let forecast = self.start_forecast(now);
+        let Some(sharing) = &mut self.sharing else {
+            return;
+        };
+        let mut index = 0;
+        let mut prompts = 0;
+        let estimates = &self.estimates;
+        let backoff = self.settings.no_capacity_backoff;
+        self.queue.retain(|each| {
+            let prompt_time = estimates.prefill_time(mimosa_protocol::Tokens(prompts));
+            let has_cache = each.request.kv_cache_at.is_some();
+            let expected = forecast.start(now, index, prompt_time, has_cache);
+            if now < each.refuse_at && expected <= each.refuse_at {
+                index += 1;
+                prompts += if has_cache { 0 } else { each.request.prompt.0 };
+                return true;
+            }
+            let waiting = each.waiting(now);
+            let expected = expected.max(now + backoff);
+            let retry_after = sharing
+                .shares
+                .turn(now, &waiting, expected, forecast.interval);
+            if let Some(fingerprint) = each.request.fingerprint {
+                sharing.told.record(now, fingerprint, now + retry_after);
+            }
+            actions.push(Action::Refuse {
+                id: each.request.id.clone(),
+                reason: PlacementRefusal::TooLate,
+                retry_after,
+            });
+            false
+        });
+    }
+
+    /// Forecast of when queued requests start, from the end of running requests and of the prompts
+    /// before them.
+    fn start_forecast(&self, now: Timestamp) -> StartForecast {
+        let pacing = self.view.cold_pacing;
+        let usable = self.endpoints.values().filter(|each| each.is_prefill());
+        let free_at: Vec<Timestamp> = usable
+            .filter(|each| each.accepts_work(now, pacing))
+            .map(|each| each.free_at(now).max(now))
+            .collect();
+        let ends = self.expected_ends(now);
+        let interval = match (ends.first(), ends.last()) {
+            (Some(_), Some(last)) => {
+                last.since(now) / u32::try_from(ends.len()).unwrap_or(u32::MAX)
+            }
+            _ => self.settings.no_capacity_backoff,
+        };
+        StartForecast {
+            // While all prefill endpoints are busy, requests wait for these and not for memory.
+            ends: if self.waits_for_memory(now) {
+                ends
+            } else {
+                Vec::new()
+            },
+            interval,
+            prefills: free_at.len() as u32,
+            first_prefill: free_at.into_iter().min().unwrap_or(now),
+        }
+    }
+}
+
+/// Forecast of when queued requests start.
+struct StartForecast {
+    /// Ends of the running requests in ascending order; empty if requests do not wait for memory.
+    ends: Vec<Timestamp>,
+    /// Average time between two ends.
+    interval: Duration,
+    /// Number of prefill endpoints that accept prompts.
+    prefills: u32,
+    /// When the first of them is free.
+    first_prefill: Timestamp,
+}
+
+impl StartForecast {
+    /// Start of the request at an index of the queue, behind prompts that take `prompt_time` at one
+    /// prefill endpoint. A queued request gets memory when as many running requests have ended as
+    /// are queued before it.
+    fn start(
+        &self,
+        now: Timestamp,
+        index: usize,
+        prompt_time: Duration,
+        has_cache: bool,
+    ) -> Timestamp {
+        let memory = match (self.ends.get(index), self.ends.last()) {
+            (Some(end), _) => *end,
+            (None, Some(last)) => {
+                let beyond = u32::try_from(index - self.ends.len() + 1).unwrap_or(u32::MAX);
+                *last + self.interval.saturating_mul(beyond)
+            }
+            (None, None) => now,
+        };
+        if has_cache || self.prefills == 0 {
+            return memory;
+        }
+        memory.max(self.first_prefill + prompt_time / self.prefills)
+    }
+}
+
+/// Cost in token-seconds of a request that is placed at a time, from the memory that it holds: its
+/// prompt until the end, and its output as it grows.
+fn cost(load: &MemoryLoad, placed_at: Timestamp, output: u64, token_time: Duration) -> f64 {
+    let decode_time = token_time.as_secs_f64() * output as f64;
+    let held = load.decode_start.since(placed_at).as_secs_f64() + decode_time;
+    load.prompt.0 as f64 * held + output as f64 / 2.0 * decode_time
+}
+
+/// Cost in token-seconds of a request that ended with a given output.
+fn used_cost(now: Timestamp, load: &MemoryLoad, placed_at: Timestamp, output: u64) -> f64 {
+    let held = now.since(placed_at).as_secs_f64();
+    let decode_time = now.since(load.decode_start).as_secs_f64();
+    load.prompt.0 as f64 * held + output as f64 / 2.0 * decode_time
+}
--- a/crates/mimosa-schedule/src/lib.rs
+++ b/crates/mimosa-schedule/src/lib.rs
@@ -125,6 +125,7 @@
 pub mod balance;
 pub mod cold;
 pub mod event;
+pub mod fair_share;
 pub mod fence;
 pub mod fleet;
 pub mod health;
--- a/crates/mimosa-schedule/tests/fleet/simulation.rs
+++ b/crates/mimosa-schedule/tests/fleet/simulation.rs
@@ -47,6 +47,7 @@
         cold_pacing: Pacing::single_sender(0),
         max_pause: Some(Duration::from_millis(300)),
         endpoints: prefills.chain(decodes).collect(),
+        weights: None,
     }
 }
 
@@ -67,6 +68,7 @@
         avoid: Vec::new(),
         exclude: Vec::new(),
         kv_cache_at: None,
+        fingerprint: None,
     }
 }
 
