--- a/crates/mimosa-schedule/src/fair_share.rs
+++ b/crates/mimosa-schedule/src/fair_share.rs
@@ -238,9 +238,10 @@
         for shares in self.priorities.values_mut() {
             let virtual_time = shares.virtual_time;
             shares.accounts.retain(|account, share| {
-                let lead = share.tag - virtual_time;
+                let mut lead = share.tag - virtual_time;
                 if lead > 0.0 {
-                    share.tag = virtual_time + lead * keep;
+                    lead *= keep;
+                    share.tag = virtual_time + lead;
                 }
                 let weight = self.weights.weight(account.as_ref());
                 share.round == round || lead * weight >= MIN_LEAD || share.next_turn > now
@@ -250,6 +251,12 @@
             .retain(|_, shares| !shares.accounts.is_empty());
     }
 
+    /// Number of accounts that are stored.
+    pub fn accounts(&self) -> usize {
+        let accounts = self.priorities.values().map(|each| each.accounts.len());
+        accounts.sum()
+    }
+
     /// Number of accounts that have requests waiting.
     pub fn waiting_accounts(&self) -> usize {
         let accounts = self.priorities.values().flat_map(|each| &each.accounts);
--- a/crates/mimosa-schedule/src/fair_share/waiting.rs
+++ b/crates/mimosa-schedule/src/fair_share/waiting.rs
@@ -13,7 +13,7 @@
     /// Priority; 0 is the most urgent.
     pub priority: u8,
     /// Whether it has waited so long that its priority no longer decides.
-    pub is_promoted: bool,
+    pub is_urgent: bool,
     /// Expected cost in token-seconds.
     pub cost: f64,
     /// Whether it will miss its target.
@@ -44,7 +44,7 @@
         Rank {
             is_late: self.is_late,
             has_no_cache: !self.has_kv_cache,
-            priority: if self.is_promoted { 0 } else { self.priority },
+            priority: if self.is_urgent { 0 } else { self.priority },
             start,
             target: self.target,
         }
--- a/crates/mimosa-schedule/src/fleet/dispatching.rs
+++ b/crates/mimosa-schedule/src/fleet/dispatching.rs
@@ -10,7 +10,8 @@
     /// arrive faster than capacity is freed, so a request that found no capacity is tried again only
     /// after capacity was freed or after [`Settings::rescan_interval`].
     pub(super) fn dispatch(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        let has_shares = self.arrange(now, actions);
+        let has_shares = self.sharing.is_some();
+        let is_arranged = self.arrange(now, actions);
         if !has_shares {
             self.refuse_expired(now, actions);
         }
@@ -26,12 +27,11 @@
                 .iter_mut()
                 .for_each(|each| each.was_tried = false);
         }
-        let lookahead = self.settings.lookahead;
         let mut has_tried = false;
         while let Some(index) = self
             .queue
             .iter()
-            .take(lookahead)
+            .take(self.lookahead(now))
             .position(|each| !each.was_tried)
         {
             has_tried = true;
@@ -46,11 +46,34 @@
                 None => self.queue[index].was_tried = true,
             }
         }
-        if has_tried && !has_shares {
+        if has_tried && is_arranged {
+            self.refuse_unservable_share(now, actions);
+        } else if has_tried && !has_shares {
             self.refuse_unservable(now, actions);
         }
     }
 
+    /// Number of queued requests to try. With fair shares, nothing is placed before an urgent first
+    /// request that waits for memory: smaller requests of other accounts would take all memory that is
+    /// freed, and a large one would wait until it misses its target. A request that may not run
+    /// at some endpoints does not hold up those that may.
+    fn lookahead(&self, now: Timestamp) -> usize {
+        let first = self.queue.first().filter(|_| self.sharing.is_some());
+        let is_reserved = first.is_some_and(|first| {
+            let request = &first.request;
+            first.is_urgent(now)
+                && !first.is_late
+                && request.avoid.is_empty()
+                && request.exclude.is_empty()
+                && self.waits_for_memory(now)
+        });
+        if is_reserved {
+            1
+        } else {
+            self.settings.lookahead
+        }
+    }
+
     /// Whether a prefill endpoint has come close enough to the end of its prompts since the last scan
     /// to be sent another one.
     pub(super) fn has_freed_prefill(&self, now: Timestamp) -> bool {
--- a/crates/mimosa-schedule/src/fleet/queue.rs
+++ b/crates/mimosa-schedule/src/fleet/queue.rs
@@ -27,8 +27,10 @@
     pub(super) cost: f64,
     /// Whether its client was refused before and returned when it was told to.
     pub(super) is_returning: bool,
-    /// When half of the time to its target has passed. From then on, its priority no longer decides.
-    promoted_at: Timestamp,
+    /// When a third of the time to its target has passed. From then on, its priority no longer decides,
+    /// and with fair shares nothing is placed before it while it is first. The rest of the time
+    /// covers its prefill.
+    urgent_at: Timestamp,
 }
 
 impl QueuedRequest {
@@ -46,7 +48,7 @@
             rank: None,
             cost: 0.0,
             is_returning: false,
-            promoted_at: now + request.time_to_target / 2,
+            urgent_at: now + request.time_to_target / 3,
             request,
         }
     }
@@ -59,12 +61,17 @@
         }
     }
 
+    /// Whether it has waited for a third of the time to its target.
+    pub(super) fn is_urgent(&self, now: Timestamp) -> bool {
+        now >= self.urgent_at
+    }
+
     /// The request as the fair shares see it.
     pub(super) fn waiting(&self, now: Timestamp) -> Waiting<'_> {
         Waiting {
             account: &self.request.account,
             priority: self.request.priority,
-            is_promoted: now >= self.promoted_at,
+            is_urgent: self.is_urgent(now),
             cost: self.cost,
             is_late: self.is_late,
             has_kv_cache: self.request.kv_cache_at.is_some(),
--- a/crates/mimosa-schedule/src/fleet/sharing.rs
+++ b/crates/mimosa-schedule/src/fleet/sharing.rs
@@ -186,8 +186,8 @@
         queued.rank = Some(sharing.shares.rank_newcomer(&queued.waiting(now)));
     }
 
-    /// Arranges the queue by fair shares and refuses requests that cannot start in time, if this is
-    /// due. Returns whether fair shares are enabled.
+    /// Arranges the queue by fair shares and refuses requests past their deadline, if this is due.
+    /// Returns whether it was.
     pub(super) fn arrange(&mut self, now: Timestamp, actions: &mut Vec<Action>) -> bool {
         let Some(sharing) = &mut self.sharing else {
             return false;
@@ -196,7 +196,7 @@
         let is_short = self.queue.len() <= self.settings.lookahead * ARRANGED_LOOKAHEADS;
         let is_due = now >= sharing.arranged_at + self.settings.rescan_interval;
         if self.queue.is_empty() || !is_short && !is_due {
-            return true;
+            return false;
         }
         sharing.arranged_at = now;
         sharing.visits += self.queue.len() as u64;
@@ -211,13 +211,25 @@
             each.rank = Some(rank);
         }
         self.queue.sort_by(QueuedRequest::compare);
-        self.refuse_beyond_share(now, actions);
+        if self.queue.iter().any(|each| now >= each.refuse_at) {
+            self.refuse_beyond_share(now, actions, |each, _| now < each.refuse_at);
+        }
         true
     }
 
     /// Refuses requests that are not expected to start before their deadline in the present order.
-    /// Each client is told when the share of its account is expected.
-    fn refuse_beyond_share(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+    pub(super) fn refuse_unservable_share(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        self.refuse_beyond_share(now, actions, |each, start| start <= each.refuse_at);
+    }
+
+    /// Refuses the queued requests for which `keeps` returns false for their expected start. Each
+    /// client is told when the share of its account is expected.
+    fn refuse_beyond_share(
+        &mut self,
+        now: Timestamp,
+        actions: &mut Vec<Action>,
+        keeps: impl Fn(&QueuedRequest, Timestamp) -> bool,
+    ) {
         let forecast = self.start_forecast(now);
         let Some(sharing) = &mut self.sharing else {
             return;
@@ -230,7 +242,7 @@
             let prompt_time = estimates.prefill_time(mimosa_protocol::Tokens(prompts));
             let has_cache = each.request.kv_cache_at.is_some();
             let expected = forecast.start(now, index, prompt_time, has_cache);
-            if now < each.refuse_at && expected <= each.refuse_at {
+            if keeps(each, expected) {
                 index += 1;
                 prompts += if has_cache { 0 } else { each.request.prompt.0 };
                 return true;
