Share the part of a gateway between accounts while no leader responds

Cause: without a leader, each gateway places whatever arrives, so an account that sends more than usual takes the decode memory.

Change: mimosa_schedule::fair_share::LocalShares divides a gateway's equal part of the decode memory between the accounts that sent requests in the last second, weighted by their quota rates; mimosa_gateway::local_share holds it, and place_locally moves to model/local.rs. A request that a leader had queued, or that was placed before, is not refused. Gauges of waiting accounts and of clients that returned as told, and a log line per second with at most eight accounts.

--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -438,6 +438,9 @@
             let running = inner.fleets.values().map(FleetScheduler::running).sum();
             self.metrics.set_requests("waiting", waiting);
             self.metrics.set_requests("running", running);
+            let accounts = inner.fleets.values().map(FleetScheduler::waiting_accounts);
+            let returned = inner.fleets.values().map(FleetScheduler::returned);
+            self.metrics.set_shares(accounts.sum(), returned.sum());
             for (service, fleet) in &inner.fleets {
                 if fleet.waiting() + fleet.running() > 0 {
                     info!("service={service} {}", fleet.summary(now));
--- a/crates/mimosa-control/src/routing/metrics.rs
+++ b/crates/mimosa-control/src/routing/metrics.rs
@@ -23,6 +23,8 @@
     committed: IntGauge,
     leads: IntGauge,
     gateways: IntGauge,
+    waiting_accounts: IntGauge,
+    returned: IntGauge,
     quarantined: IntGauge,
     may_order: IntGauge,
     quota_loans: IntCounterVec,
@@ -64,6 +66,14 @@
         );
         let leads = gauge("mimosa_control_leads", "1 while this instance leads");
         let gateways = gauge("mimosa_control_gateways", "Gateways that are connected");
+        let waiting_accounts = gauge(
+            "mimosa_control_waiting_accounts",
+            "Accounts with requests of models that wait, with fair shares",
+        );
+        let returned = gauge(
+            "mimosa_control_returned_clients",
+            "Clients that returned when this leader had told them to, with fair shares",
+        );
         let quarantined = gauge(
             "mimosa_control_quarantined",
             "Prompt parts and requests that the leader quarantines as they crash endpoints",
@@ -108,6 +118,8 @@
             committed,
             leads,
             gateways,
+            waiting_accounts,
+            returned,
             quarantined,
             may_order,
             quota_loans,
@@ -156,6 +168,13 @@
         self.0.leads.set(i64::from(leads));
     }
 
+    pub(crate) fn set_shares(&self, waiting_accounts: usize, returned: u64) {
+        let waiting = i64::try_from(waiting_accounts).unwrap_or(i64::MAX);
+        self.0.waiting_accounts.set(waiting);
+        let returned = i64::try_from(returned).unwrap_or(i64::MAX);
+        self.0.returned.set(returned);
+    }
+
     pub(crate) fn set_quarantined(&self, count: usize) {
         self.0
             .quarantined
--- a/crates/mimosa-control/tests/dispatch.rs
+++ b/crates/mimosa-control/tests/dispatch.rs
@@ -28,6 +28,7 @@
 use mimosa_hold::quarantine::Fingerprint;
 use mimosa_protocol::ByteRate;
 use mimosa_protocol::ByteSize;
+use mimosa_protocol::Features;
 use mimosa_protocol::Incarnation;
 use mimosa_protocol::InstanceId;
 use mimosa_protocol::Timestamp;
@@ -151,18 +152,21 @@
 }
 
 async fn start_with(endpoints: StaticEndpoints, engines: AcceptingEngines) -> (Running, TempDir) {
-    let (running, folder, _) = start_with_all(endpoints, engines).await;
+    let features = Features::default();
+    let (running, folder, _) = start_with_all(endpoints, engines, features).await;
     (running, folder)
 }
 
 async fn start_with_orders() -> (Running, TempDir, RoutingOrders) {
     let (orders, _) = mpsc::unbounded_channel();
-    start_with_all(ONE_DECODE_ENDPOINT, AcceptingEngines(orders)).await
+    let features = Features::default();
+    start_with_all(ONE_DECODE_ENDPOINT, AcceptingEngines(orders), features).await
 }
 
 async fn start_with_all(
     endpoints: StaticEndpoints,
     engines: AcceptingEngines,
+    features: Features,
 ) -> (Running, TempDir, RoutingOrders) {
     let folder = tempfile::tempdir().unwrap();
     let own: InstanceId = "127.0.0.1".parse().unwrap();
@@ -176,6 +180,7 @@
             port: 1,
         }),
         order_lease: Duration::from_millis(100),
+        features,
         ..Settings::default()
     };
     let (tx, mut captured) = mpsc::unbounded_channel();
@@ -228,12 +233,17 @@
 
     /// Requests 9 000 of the endpoint's 10 000 tokens, so that no second request fits.
     async fn request_placement(&mut self, number: u64) {
+        self.request_placement_of(None, number).await;
+    }
+
+    /// The same for a request of an account.
+    async fn request_placement_of(&mut self, account: Option<&str>, number: u64) {
         let ask = PlacementRequest {
             id: GatewayRequestId {
                 gateway: self.name.clone(),
                 number,
             },
-            account: None,
+            account: account.map(|account| account.parse().unwrap()),
             prompt: Tokens(6_000),
             max_output: Tokens(3_000),
             expected_output: Some(Tokens(3_000)),
@@ -433,6 +443,32 @@
     expect_that!(gateway.next_answer().await, eq((true, 2)));
 }
 
+/// Guards against a leader that does not hand the weights to its schedulers, or does so without being
+/// asked to: the request of another account goes before the backlog only with fair shares.
+#[googletest::test]
+#[tokio::test]
+async fn the_backlog_of_an_account_delays_others_only_without_fair_shares() {
+    for (fair_shares, expected) in [(false, 2), (true, 4)] {
+        let (orders, _) = mpsc::unbounded_channel();
+        let features = Features {
+            fair_shares,
+            ..Features::default()
+        };
+        let engines = AcceptingEngines(orders);
+        let (control, _folder, _) = start_with_all(ONE_DECODE_ENDPOINT, engines, features).await;
+        let mut gateway = Gateway::connect(&control, "10.0.0.1").await;
+        gateway.request_placement_of(Some("hot"), 1).await;
+        while gateway.next_answer().await != (true, 1) {}
+        for (account, number) in [("hot", 2), ("hot", 3), ("usual", 4)] {
+            gateway.request_placement_of(Some(account), number).await;
+            expect_that!(gateway.next_answer().await, eq((false, number)));
+        }
+        let end = RunEnd::Complete(Tokens(3_000));
+        gateway.send(GatewayMessage::Ended { number: 1, end }).await;
+        expect_that!(gateway.next_answer().await, eq((true, expected)));
+    }
+}
+
 /// The report of a request's end can be lost with the connection. Guards against an endpoint that
 /// stays occupied: the gateway's next report of its active requests frees it.
 #[googletest::test]
--- a/crates/mimosa-gateway/src/dispatch.rs
+++ b/crates/mimosa-gateway/src/dispatch.rs
@@ -26,6 +26,8 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::local_share::LocalReservation;
+
 /// Time for the leader to place or at least queue a request; covers several round trips within a
 /// region.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(150);
@@ -67,7 +69,10 @@
     Placed(Placement),
     Rejected(PlacementRefusal, Duration),
     /// The leadership moved to another instance.
-    LeaderChanged,
+    LeaderChanged {
+        /// Whether the previous leader had queued the request.
+        was_queued: bool,
+    },
 }
 
 /// Outcome of a placement request.
@@ -77,7 +82,10 @@
     /// The leader rejected the request; retry after the given time.
     Rejected(PlacementRefusal, Duration),
     /// No leader responded.
-    NoLeader,
+    NoLeader {
+        /// Whether a leader had queued the request before.
+        has_waited: bool,
+    },
 }
 
 /// Handle of a placed request. Dropping it reports an aborted run to the leader.
@@ -85,6 +93,8 @@
     client: Weak<PlacementClient>,
     number: u64,
     pub(crate) placement: Placement,
+    /// Memory that the gateway reserved for it as no leader responded.
+    pub(crate) reservation: Option<LocalReservation>,
     ended: bool,
 }
 
@@ -179,7 +189,8 @@
     }
 
     pub(crate) fn on_not_leader(&self, number: u64) {
-        self.decide(number, Decision::LeaderChanged);
+        let was_queued = false;
+        self.decide(number, Decision::LeaderChanged { was_queued });
     }
 
     /// Requests a placement and waits for the leader's decision. `build_request` gets the current
@@ -192,12 +203,13 @@
     ) -> PlacementOutcome {
         /// Number of leaders to ask before the request is placed locally.
         const MAX_LEADERS: u32 = 2;
+        let mut has_waited = false;
         for _ in 0..MAX_LEADERS {
             let at = now();
             let Some((number, queued, decision, request)) =
                 self.send_request(at, service, &build_request)
             else {
-                return PlacementOutcome::NoLeader;
+                return PlacementOutcome::NoLeader { has_waited };
             };
             let guard = PendingGuard {
                 client: self,
@@ -213,15 +225,15 @@
                 Some(Decision::Rejected(reason, retry_after)) => {
                     return PlacementOutcome::Rejected(reason, retry_after);
                 }
-                Some(Decision::LeaderChanged) => {}
+                Some(Decision::LeaderChanged { was_queued }) => has_waited |= was_queued,
                 None => {
                     info!("dependency=scheduler state=silent");
                     self.lock().backoff_until = now() + LEADER_BACKOFF;
-                    return PlacementOutcome::NoLeader;
+                    return PlacementOutcome::NoLeader { has_waited };
                 }
             }
         }
-        PlacementOutcome::NoLeader
+        PlacementOutcome::NoLeader { has_waited }
     }
 
     /// Asks the leader for part of an account's quota. Returns whether the message was sent; the
@@ -313,6 +325,7 @@
             client: Arc::downgrade(self),
             number,
             placement,
+            reservation: None,
             ended: false,
         }
     }
@@ -394,7 +407,9 @@
     fn redirect_pending(&mut self) {
         for (_, mut request) in self.pending.drain() {
             if let Some(decision) = request.decision.take() {
-                decision.send(Decision::LeaderChanged).ok();
+                let was_queued = request.queued.is_none();
+                let changed = Decision::LeaderChanged { was_queued };
+                decision.send(changed).ok();
             }
         }
     }
@@ -449,6 +464,7 @@
             return;
         }
         self.ended = true;
+        self.reservation = None;
         if let Some(client) = self.client.upgrade() {
             client.lock().runs.remove(&self.number);
         }
--- a/crates/mimosa-gateway/src/lib.rs
+++ b/crates/mimosa-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod dispatch;
 mod head;
 mod local_quota;
+mod local_share;
 mod metrics;
 mod model;
 mod part_quarantine;
--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -32,7 +32,6 @@
 use crate::dispatch::PlacementOutcome;
 use crate::head::IdentifiedRequest;
 use crate::part_quarantine::TrackedRun;
-use crate::quota;
 use crate::relay;
 use crate::relay::StreamInfo;
 use crate::response::Body;
@@ -44,6 +43,8 @@
 use crate::upstream::CallFailure;
 use crate::upstream::ClientRequest;
 
+mod local;
+
 /// Maximum size of the response to a prefill, which contains little more than the KV cache handle, and
 /// to the release of a KV cache.
 const MAX_KV_RESPONSE_BYTES: usize = 16 << 10;
@@ -331,8 +332,8 @@
                 );
                 return Err(rejection(cause, retry_after));
             }
-            PlacementOutcome::NoLeader => {
-                return place_locally(shared, request, &endpoints, attempts);
+            PlacementOutcome::NoLeader { has_waited } => {
+                return local::place_locally(shared, request, &endpoints, attempts, has_waited);
             }
         }
     }
@@ -379,47 +380,6 @@
     })
 }
 
-fn place_locally(
-    shared: &Arc<Shared>,
-    request: &IdentifiedRequest,
-    endpoints: &EndpointSet,
-    attempts: &Attempts,
-) -> Result<Assignment, Failure> {
-    info!(
-        "request={} step=place outcome=alone",
-        request.metadata.attempt_id
-    );
-    if attempts.tried.is_empty() {
-        quota::admit_without_leader(shared, request)?;
-    }
-    let now = shared.now();
-    let waited = now.since(request.arrived);
-    shared
-        .metrics
-        .record_placement(request.service.as_str(), "gateway", waited);
-    let tried = &attempts.tried;
-    let select = |role| upstream::select_endpoint(shared, now, endpoints, request, role, tried);
-    let prefill = match &attempts.kv_cache {
-        Some(_) => None,
-        None => select(EndpointRole::Prefill),
-    };
-    let decode = select(EndpointRole::Decode).ok_or_else(|| not_run("no decode endpoint"))?;
-    let placement = Placement {
-        prefill: None,
-        decode: decode.listed.id.clone(),
-    };
-    let run = shared.placement.record_local_run(
-        &request.service,
-        |number| placement_request(shared, request, attempts, now, number),
-        placement,
-    );
-    Ok(Assignment {
-        prefill,
-        decode,
-        run,
-    })
-}
-
 const fn rejection(cause: PlacementRefusal, retry_after: Duration) -> Failure {
     let reason = match cause {
         PlacementRefusal::NoEndpoint => "no endpoint takes work",
--- a/crates/mimosa-gateway/src/shared.rs
+++ b/crates/mimosa-gateway/src/shared.rs
@@ -24,6 +24,7 @@
 use crate::directory::Directory;
 use crate::dispatch::PlacementClient;
 use crate::local_quota::LocalQuota;
+use crate::local_share::LocalMemory;
 use crate::metrics::Metrics;
 use crate::part_quarantine::KnownSuspects;
 use crate::settings::Reloadable;
@@ -54,6 +55,8 @@
     pub(crate) directory: Directory,
     pub(crate) placement: Arc<PlacementClient>,
     pub(crate) local_quota: LocalQuota,
+    /// Decode memory held by requests that were placed without the leader.
+    pub(crate) local_memory: Arc<LocalMemory>,
     /// Prompt parts and requests that crash endpoints.
     pub(crate) suspects: KnownSuspects,
     pub(crate) metrics: Metrics,
@@ -86,6 +89,7 @@
             directory,
             placement: Arc::default(),
             local_quota: LocalQuota::default(),
+            local_memory: Arc::default(),
             suspects: KnownSuspects::default(),
             metrics: Metrics::new(),
             drain_started_us: AtomicU64::new(0),
--- a/crates/mimosa-schedule/src/fair_share/local.rs
+++ b/crates/mimosa-schedule/src/fair_share/local.rs
@@ -89,4 +89,9 @@
             self.held = self.held.saturating_sub(memory.0);
         }
     }
+
+    /// Whether no request holds memory.
+    pub fn is_idle(&self) -> bool {
+        self.accounts.values().all(|each| each.requests == 0)
+    }
 }
