Keep the virtual time of the shares until a new leader knows the whole backlog

Cause: at a new leader, the account whose request arrived first set the virtual time, so that what it already held no longer counted.

Change: the queue is arranged only after the gateways had time to report. Adopted runs are charged for what they use from then on. Clients that are refused because all endpoints are limited are remembered as well. The forecast counts cold prefill endpoints.

--- a/crates/mimosa-schedule/src/fleet/refusals.rs
+++ b/crates/mimosa-schedule/src/fleet/refusals.rs
@@ -25,7 +25,7 @@
         let ends = self.expected_ends(now);
         let retry_after = self.time_to_capacity(now);
         let mut index = 0;
-        self.refuse_unless(actions, retry_after, |each| {
+        self.refuse_unless(now, actions, retry_after, |each| {
             let end = ends.get(index).or(ends.last());
             let keeps = end.is_none_or(|end| *end <= each.refuse_at);
             index += usize::from(keeps);
@@ -60,7 +60,7 @@
             .map_or(MAX_LIMIT_DELAY, |start| start.since(now));
         let retry_after = retry_after.clamp(backoff, MAX_LIMIT_DELAY);
         let mut starts = starts.into_iter().peekable();
-        self.refuse_unless(actions, retry_after, |each| {
+        self.refuse_unless(now, actions, retry_after, |each| {
             let is_in_time = |start: &Timestamp| *start <= each.refuse_at;
             starts.next_if(is_in_time).is_some()
         });
@@ -69,13 +69,18 @@
     /// Refuses the queued requests for which `keeps` returns false.
     pub(super) fn refuse_unless(
         &mut self,
+        now: Timestamp,
         actions: &mut Vec<Action>,
         retry_after: Duration,
         mut keeps: impl FnMut(&QueuedRequest) -> bool,
     ) {
+        let sharing = &mut self.sharing;
         self.queue.retain(|each| {
             let is_kept = keeps(each);
             if !is_kept {
+                if let Some(sharing) = sharing {
+                    sharing.record_told(now, each, now + retry_after);
+                }
                 actions.push(Action::Refuse {
                     id: each.request.id.clone(),
                     reason: PlacementRefusal::TooLate,
@@ -107,7 +112,7 @@
             return;
         }
         let retry_after = self.time_to_capacity(now);
-        self.refuse_unless(actions, retry_after, |each| now < each.refuse_at);
+        self.refuse_unless(now, actions, retry_after, |each| now < each.refuse_at);
     }
 
     /// Expected end times of the running requests in ascending order.
--- a/crates/mimosa-schedule/src/fleet/sharing.rs
+++ b/crates/mimosa-schedule/src/fleet/sharing.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use mimosa_protocol::Timestamp;
+use mimosa_protocol::Tokens;
 
 use super::FleetScheduler;
 use super::GatewayRequestId;
@@ -43,7 +44,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Charge {
     cost: f64,
-    placed_at: Timestamp,
+    charged_at: Timestamp,
 }
 
 impl Sharing {
@@ -57,6 +58,13 @@
             returned: 0,
         }
     }
+
+    /// Remembers that the client of a refused request was told when to return.
+    pub(super) fn record_told(&mut self, now: Timestamp, refused: &QueuedRequest, due: Timestamp) {
+        if let Some(fingerprint) = refused.request.fingerprint {
+            self.told.record(now, fingerprint, due);
+        }
+    }
 }
 
 impl FleetScheduler {
@@ -114,23 +122,20 @@
         }
     }
 
-    /// Charges the forecast cost of a run to its account.
+    /// Charges the forecast cost of a run from now on to its account. What a run of an earlier leader
+    /// used before was charged there.
     pub(super) fn charge_run(&mut self, now: Timestamp, id: &GatewayRequestId) {
         let (Some(sharing), Some(run)) = (&mut self.sharing, self.runs.get(id)) else {
             return;
         };
-        let placed_at = now.min(run.load.decode_start);
-        let cost = cost(
-            &run.load,
-            placed_at,
-            run.load.output.0,
-            self.estimates.token_time(),
-        );
+        let end = run.load.end(now, self.estimates.token_time());
+        let cost = cost(&run.load, now, end, run.load.output.0);
         let request = &run.request;
         sharing
             .shares
             .charge(request.priority, &request.account, cost);
-        let charge = Charge { cost, placed_at };
+        let charged_at = now;
+        let charge = Charge { cost, charged_at };
         sharing.charges.insert(id.clone(), charge);
     }
 
@@ -150,13 +155,13 @@
             return;
         };
         let used = match end {
-            RunEnd::Complete(output) => used_cost(now, load, charge.placed_at, output.0),
+            RunEnd::Complete(output) => cost(load, charge.charged_at, now, output.0),
             RunEnd::Aborted => {
                 let decoding = now.since(load.decode_start).as_secs_f64();
                 let token_time = self.estimates.token_time().as_secs_f64();
                 let output = (decoding / token_time.max(1e-9)) as u64;
                 let output = output.min(load.max_output.0);
-                used_cost(now, load, charge.placed_at, output)
+                cost(load, charge.charged_at, now, output)
             }
             RunEnd::NoCapacity | RunEnd::Unreachable(_) | RunEnd::EndpointLost(_) => 0.0,
         };
@@ -181,7 +186,8 @@
         let load = self
             .estimates
             .memory_load(&queued.request, start + self.settings.first_output_time);
-        queued.cost = cost(&load, now, load.output.0, self.estimates.token_time());
+        let end = load.end(now, self.estimates.token_time());
+        queued.cost = cost(&load, now, end, load.output.0);
         sharing.visits += 1;
         queued.rank = Some(sharing.shares.rank_newcomer(&queued.waiting(now)));
     }
@@ -193,6 +199,10 @@
             return false;
         };
         sharing.shares.decay(now);
+        if now < self.handover_until {
+            // The virtual time must not advance before the backlog of all accounts is known.
+            return false;
+        }
         let is_short = self.queue.len() <= self.settings.lookahead * ARRANGED_LOOKAHEADS;
         let is_due = now >= sharing.arranged_at + self.settings.rescan_interval;
         if self.queue.is_empty() || !is_short && !is_due {
@@ -239,7 +249,7 @@
         let estimates = &self.estimates;
         let backoff = self.settings.no_capacity_backoff;
         self.queue.retain(|each| {
-            let prompt_time = estimates.prefill_time(mimosa_protocol::Tokens(prompts));
+            let prompt_time = estimates.prefill_time(Tokens(prompts));
             let has_cache = each.request.kv_cache_at.is_some();
             let expected = forecast.start(now, index, prompt_time, has_cache);
             if keeps(each, expected) {
@@ -252,9 +262,7 @@
             let retry_after = sharing
                 .shares
                 .turn(now, &waiting, expected, forecast.interval);
-            if let Some(fingerprint) = each.request.fingerprint {
-                sharing.told.record(now, fingerprint, now + retry_after);
-            }
+            sharing.record_told(now, each, now + retry_after);
             actions.push(Action::Refuse {
                 id: each.request.id.clone(),
                 reason: PlacementRefusal::TooLate,
@@ -268,11 +276,11 @@
     /// before them.
     fn start_forecast(&self, now: Timestamp) -> StartForecast {
         let pacing = self.view.cold_pacing;
-        let usable = self.endpoints.values().filter(|each| each.is_prefill());
-        let free_at: Vec<Timestamp> = usable
-            .filter(|each| each.accepts_work(now, pacing))
-            .map(|each| each.free_at(now).max(now))
-            .collect();
+        let prefills = self.endpoints.values().filter(|each| each.is_prefill());
+        let accepting = prefills
+            .clone()
+            .filter(|each| each.accepts_work(now, pacing));
+        let first_prefill = accepting.map(|each| each.free_at(now).max(now)).min();
         let ends = self.expected_ends(now);
         let interval = match (ends.first(), ends.last()) {
             (Some(_), Some(last)) => {
@@ -288,8 +296,10 @@
                 Vec::new()
             },
             interval,
-            prefills: free_at.len() as u32,
-            first_prefill: free_at.into_iter().min().unwrap_or(now),
+            // Cold endpoints and those in a backoff will accept prompts soon. Counting them refuses too
+            // few requests rather than too many.
+            prefills: u32::try_from(prefills.count()).unwrap_or(u32::MAX),
+            first_prefill: first_prefill.unwrap_or(now),
         }
     }
 }
@@ -300,9 +310,9 @@
     ends: Vec<Timestamp>,
     /// Average time between two ends.
     interval: Duration,
-    /// Number of prefill endpoints that accept prompts.
+    /// Number of prefill endpoints.
     prefills: u32,
-    /// When the first of them is free.
+    /// When the first of those that accept prompts is free.
     first_prefill: Timestamp,
 }
 
@@ -332,17 +342,16 @@
     }
 }
 
-/// Cost in token-seconds of a request that is placed at a time, from the memory that it holds: its
-/// prompt until the end, and its output as it grows.
-fn cost(load: &MemoryLoad, placed_at: Timestamp, output: u64, token_time: Duration) -> f64 {
-    let decode_time = token_time.as_secs_f64() * output as f64;
-    let held = load.decode_start.since(placed_at).as_secs_f64() + decode_time;
-    load.prompt.0 as f64 * held + output as f64 / 2.0 * decode_time
-}
-
-/// Cost in token-seconds of a request that ended with a given output.
-fn used_cost(now: Timestamp, load: &MemoryLoad, placed_at: Timestamp, output: u64) -> f64 {
-    let held = now.since(placed_at).as_secs_f64();
-    let decode_time = now.since(load.decode_start).as_secs_f64();
-    load.prompt.0 as f64 * held + output as f64 / 2.0 * decode_time
+/// Cost in token-seconds of a request in a time: the memory that it holds, which is its prompt and an
+/// output that grows from the start of the decode to a given length at the end of that time.
+fn cost(load: &MemoryLoad, from: Timestamp, to: Timestamp, output: u64) -> f64 {
+    let held = to.since(from).as_secs_f64();
+    let decoded = to.since(load.decode_start).as_secs_f64();
+    let decoded_before = from.since(load.decode_start).as_secs_f64();
+    let prompt = load.prompt.0 as f64 * held;
+    if decoded <= 0.0 {
+        return prompt;
+    }
+    let rate = output as f64 / decoded;
+    prompt + rate / 2.0 * (decoded * decoded - decoded_before * decoded_before)
 }
--- a/crates/mimosa-schedule/tests/fair_share.rs
+++ b/crates/mimosa-schedule/tests/fair_share.rs
@@ -4,6 +4,8 @@
 mod queue;
 #[path = "fair_share/replay.rs"]
 mod replay;
+#[path = "fair_share/score.rs"]
+mod score;
 #[path = "fair_share/shares.rs"]
 mod shares;
 
@@ -12,8 +14,8 @@
 use googletest::prelude::*;
 
 use crate::replay::Day;
-use crate::replay::Outcome;
 use crate::replay::Replay;
+use crate::score::Outcome;
 
 /// A hot account, a burst and a lost data centre, all together.
 fn hard_day() -> Day {
--- a/crates/mimosa-schedule/tests/fair_share/replay.rs
+++ b/crates/mimosa-schedule/tests/fair_share/replay.rs
@@ -25,6 +25,8 @@
 use mimosa_schedule::fleet::View;
 use mimosa_schedule::fleet::ViewEndpoint;
 
+use crate::score::Outcome;
+
 pub const START: Timestamp = Timestamp::from_secs(100);
 pub const TARGET: Duration = Duration::from_millis(900);
 /// Quota rates of the accounts in thousands of tokens per second. The usual load of an account is
@@ -43,10 +45,6 @@
 const FIRST_OUTPUT_TIME: Duration = Duration::from_millis(40);
 /// Number of times that a client sends a request.
 const MAX_TRIES: u32 = 3;
-/// Length of the slices over which fair shares are computed. Shares are of the capacity for which
-/// accounts wait, so a slice must be shorter than the time in which a burst fills the memory (3 s).
-const SLICE: Duration = Duration::from_secs(2);
-
 /// What happens in a replay; times are relative to its start.
 #[derive(Clone, Debug)]
 pub struct Day {
@@ -65,44 +63,11 @@
     pub has_shares: bool,
 }
 
-/// Results of an account, in token-seconds.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Served {
-    pub demand: f64,
-    pub good: f64,
-    pub fair: f64,
-}
-
-/// Result of a replay.
-#[derive(Clone, Debug)]
-pub struct Outcome {
-    pub accounts: Vec<Served>,
-    pub requests: u64,
-    /// Requests whose first output met the latency target of the try that was served.
-    pub in_time: u64,
-    pub late: u64,
-    pub refusals: u64,
-    /// Hash of all decisions of the scheduler and their times.
-    pub decisions: u64,
-}
-
-impl Outcome {
-    /// Part of its fair share that each account gets.
-    pub fn parts(&self) -> Vec<f64> {
-        let accounts = self.accounts.iter();
-        accounts.map(|each| each.good / each.fair).collect()
-    }
-
-    /// Part of its fair share that the account served worst gets.
-    pub fn worst(&self) -> f64 {
-        self.parts().into_iter().fold(f64::MAX, f64::min)
-    }
-}
-
-struct Job {
-    account: usize,
+/// A request of a client, with all its tries.
+pub struct Job {
+    pub account: usize,
     /// When the client sent it, for each try.
-    sent_at: Vec<Timestamp>,
+    pub sent_at: Vec<Timestamp>,
     sent: Timestamp,
     prompt: u64,
     output: u64,
@@ -111,12 +76,14 @@
     placement: Option<Placement>,
     placed_at: Timestamp,
     started: Option<Timestamp>,
-    is_good: bool,
-    is_over: bool,
+    /// Whether the first output met the latency target of the last try.
+    pub is_good: bool,
+    /// Whether the output is complete.
+    pub is_over: bool,
 }
 
 impl Job {
-    fn cost(&self) -> f64 {
+    pub fn cost(&self) -> f64 {
         let time = TOKEN_TIME.as_secs_f64() * self.output as f64;
         time * (self.prompt as f64 + self.output as f64 / 2.0)
     }
@@ -252,7 +219,7 @@
                 }
             }
         }
-        self.outcome()
+        Outcome::new(&self.jobs, self.refusals, self.decisions)
     }
 
     fn schedule(&mut self, at: Timestamp, step: Step) {
@@ -488,46 +455,6 @@
         self.steps.values().any(is_send) || self.jobs[index].tries == MAX_TRIES
     }
 
-    fn outcome(self) -> Outcome {
-        // A request counts in each slice in which its client sent it, and is served in the last one.
-        let mut slices: BTreeMap<u128, Vec<(&Job, bool)>> = BTreeMap::new();
-        for job in &self.jobs {
-            let slice = |at: &Timestamp| at.since(START).as_micros() / SLICE.as_micros();
-            let mut sent_in: Vec<u128> = job.sent_at.iter().map(slice).collect();
-            sent_in.dedup();
-            let last = sent_in.last().copied();
-            for slice in sent_in {
-                let is_served = job.is_good && job.is_over && Some(slice) == last;
-                slices.entry(slice).or_default().push((job, is_served));
-            }
-        }
-        let mut accounts = vec![Served::default(); RATES.len()];
-        for jobs in slices.values() {
-            let mut slice = vec![Served::default(); RATES.len()];
-            for (job, is_served) in jobs {
-                slice[job.account].demand += job.cost();
-                if *is_served {
-                    slice[job.account].good += job.cost();
-                }
-            }
-            divide(&mut slice);
-            for (sum, each) in accounts.iter_mut().zip(slice) {
-                sum.demand += each.demand;
-                sum.good += each.good;
-                sum.fair += each.fair;
-            }
-        }
-        let count = |is: fn(&Job) -> bool| self.jobs.iter().filter(|job| is(job)).count() as u64;
-        Outcome {
-            accounts,
-            requests: self.jobs.len() as u64,
-            in_time: count(|job| job.is_good && job.is_over),
-            late: count(|job| !job.is_good && job.is_over),
-            refusals: self.refusals,
-            decisions: self.decisions,
-        }
-    }
-
     fn random_unit(&mut self) -> f64 {
         self.random_state ^= self.random_state << 13;
         self.random_state ^= self.random_state >> 7;
@@ -535,19 +462,3 @@
         (self.random_state >> 11) as f64 / (1_u64 << 53) as f64
     }
 }
-
-/// Divides what all accounts got together into weighted max-min fair shares of their demands.
-fn divide(accounts: &mut [Served]) {
-    let mut left: f64 = accounts.iter().map(|each| each.good).sum();
-    let mut order: Vec<usize> = (0..accounts.len()).collect();
-    let by_weight = |index: usize| accounts[index].demand / RATES[index] as f64;
-    order.sort_by(|a, b| by_weight(*a).total_cmp(&by_weight(*b)));
-    let mut weight: f64 = RATES.iter().map(|rate| *rate as f64).sum();
-    for index in order {
-        let own = RATES[index] as f64;
-        let fair = accounts[index].demand.min(left * own / weight);
-        accounts[index].fair = fair;
-        left -= fair;
-        weight -= own;
-    }
-}
