--- a/crates/mimosa-schedule/src/lib.rs
+++ b/crates/mimosa-schedule/src/lib.rs
@@ -7,7 +7,8 @@
 //! service, holds them until they end, and runs the granted attempts.
 //!
 //! [`fleet`] is another scheduler, which places the requests of all gateways at endpoints of all data
-//! centres. [`pick`] and [`health`] serve gateways that select endpoints without a scheduler.
+//! centres, with weighted fair shares of the accounts from [`fair_share`]. [`pick`] and [`health`] serve
+//! gateways that select endpoints without a scheduler.
 //!
 //! A driver passes in all events, executes the returned actions, sends [`Event::Tick`] at the time
 //! that the policy requests, and validates each grant with a [`GrantFence`] before an attempt
--- a/crates/mimosa-schedule/tests/fair_share/shares.rs
+++ b/crates/mimosa-schedule/tests/fair_share/shares.rs
@@ -86,6 +86,28 @@
     expect_that!(shares.accounts(), eq(0));
 }
 
+/// Guards against requests that missed their target and then wait for as long as other accounts send
+/// new ones.
+#[gtest]
+fn late_requests_wait_only_until_their_account_is_far_behind() {
+    let mut shares = FairShares::new(weights());
+    let all = [6, 7].map(|index| Some(account(index)));
+    let mut before_late = 0;
+    for _ in 0..20 {
+        let late = Waiting {
+            is_late: true,
+            ..waiting(&all[0])
+        };
+        let ranks = shares.arrange(&[late, waiting(&all[1])]);
+        if ranks[0] < ranks[1] {
+            break;
+        }
+        shares.charge(1, &all[1], COST);
+        before_late += 1;
+    }
+    expect_that!(before_late, all![ge(4), le(6)]);
+}
+
 /// Guards against clients of one account that are all told to return at the same moment, and against
 /// accounts that pay for the clients of another one.
 #[gtest]
