--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -61,6 +61,15 @@
 /// its connection reconnects sooner.
 const GATEWAY_RECONNECT_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// How the leader treats accounts.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SchedulingPolicy {
+    /// How far accounts may exceed their quotas.
+    pub tolerance: Tolerance,
+    /// Whether requests are queued by fair shares of the accounts.
+    pub has_fair_shares: bool,
+}
+
 /// The schedulers of the leader.
 pub struct Dispatcher {
     replicator: Arc<dyn Replicator>,
@@ -97,7 +106,7 @@
 
 impl Dispatcher {
     /// Creates a dispatcher that does not lead yet.
-    pub fn new(components: Components, tolerance: Tolerance) -> Self {
+    pub fn new(components: Components, policy: SchedulingPolicy) -> Self {
         let Components {
             replicator,
             shared,
@@ -119,7 +128,8 @@
             speed_changes: watch::Sender::default(),
             inner: Mutex::new(Inner {
                 metrics: metrics.clone(),
-                tolerance,
+                tolerance: policy.tolerance,
+                has_fair_shares: policy.has_fair_shares,
                 ..Inner::default()
             }),
             metrics,
@@ -498,10 +508,16 @@
             self.metrics.set_requests("waiting", waiting);
             self.metrics.set_requests("running", running);
             self.publish_speeds(now, &mut inner);
+            let accounts = inner.fleets.values().map(FleetScheduler::waiting_accounts);
+            let returned = inner.fleets.values().map(FleetScheduler::returned);
+            self.metrics.set_shares(accounts.sum(), returned.sum());
             for (service, fleet) in &inner.fleets {
                 if fleet.waiting() + fleet.running() > 0 {
                     info!("service={service} {}", fleet.summary(now));
                 }
+                if let Some(shares) = fleet.share_summary() {
+                    info!("service={service} {shares}");
+                }
             }
         }
     }
@@ -610,6 +626,7 @@
                 false => InitialLevel::Full,
             };
             inner.configure_quotas(now, initial_level);
+            inner.configure_weights();
         }
         inner.published = published;
         inner.configure_fleets(now);
--- a/crates/mimosa-control/src/server.rs
+++ b/crates/mimosa-control/src/server.rs
@@ -47,6 +47,7 @@
 use crate::routing::balancer::Balancer;
 use crate::routing::dispatch::Components;
 use crate::routing::dispatch::Dispatcher;
+use crate::routing::dispatch::SchedulingPolicy;
 use crate::routing::gateway_port::GatewayPort;
 use crate::routing::listing;
 use crate::routing::metrics::Metrics;
@@ -356,7 +357,11 @@
             rollouts,
             metrics: self.metrics.clone(),
         };
-        let dispatcher = Dispatcher::new(components, self.settings.quota_tolerance);
+        let policy = SchedulingPolicy {
+            tolerance: self.settings.quota_tolerance,
+            has_fair_shares: self.settings.features.fair_shares,
+        };
+        let dispatcher = Dispatcher::new(components, policy);
         let dispatcher = Arc::new(dispatcher.with_features(self.settings.features));
         self.dispatcher = Some(Arc::clone(&dispatcher));
         self.tasks.spawn(Arc::clone(&dispatcher).run());
--- a/crates/mimosa-control/tests/rollouts/harness.rs
+++ b/crates/mimosa-control/tests/rollouts/harness.rs
@@ -49,6 +49,7 @@
 use mimosa_route::message::GatewayMessage;
 use mimosa_state::rollouts::Rollout;
 use mimosa_transport::frame;
+use mimosa_transport::reserved_buffer::ProcessMemory;
 use tempfile::TempDir;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -92,7 +93,10 @@
 struct TwoVersions;
 
 impl EndpointSource for TwoVersions {
-    fn list(&self) -> BoxFuture<'_, Result<Vec<ListedEndpoint>, ListError>> {
+    fn list<'a>(
+        &'a self,
+        _: &'a ProcessMemory,
+    ) -> BoxFuture<'a, Result<Vec<ListedEndpoint>, ListError>> {
         let endpoints = (0..8).map(|number| ListedEndpoint {
             id: format!("i-{number}").parse().unwrap(),
             service: shop(),
--- a/crates/mimosa-gateway/src/lib.rs
+++ b/crates/mimosa-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod dispatch;
 mod head;
 mod local_quota;
+mod local_share;
 mod memory;
 mod metrics;
 mod model;
--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -33,7 +33,6 @@
 use crate::dispatch::PlacementOutcome;
 use crate::head::IdentifiedRequest;
 use crate::part_quarantine::TrackedRun;
-use crate::quota;
 use crate::relay;
 use crate::relay::StreamInfo;
 use crate::response::Body;
@@ -41,12 +40,13 @@
 use crate::resume;
 use crate::resume::ResumeContext;
 use crate::rollout::CallOutcome;
-use crate::rollout::LocalVersions;
 use crate::shared::Shared;
 use crate::upstream;
 use crate::upstream::CallFailure;
 use crate::upstream::ClientRequest;
 
+mod local;
+
 /// Maximum size of the response to a prefill, which contains little more than the KV cache handle, and
 /// to the release of a KV cache.
 const MAX_KV_RESPONSE_BYTES: usize = 16 << 10;
@@ -80,6 +80,9 @@
     kv_cache: Option<KvCacheLease>,
     /// Version on which the stream began; `None` before it did.
     began_on: Option<StreamVersion>,
+    /// Fingerprint of the content, by which the leader recognises a client that it told to retry;
+    /// `None` if fair shares are disabled.
+    fingerprint: Option<u64>,
 }
 
 impl Attempts {
@@ -90,6 +93,7 @@
             remaining: max_attempts.max(1),
             kv_cache: None,
             began_on: None,
+            fingerprint: None,
         }
     }
 }
@@ -101,6 +105,10 @@
     client_request: &ClientRequest,
 ) -> Result<Response<Body>, Failure> {
     let mut attempts = Attempts::new(request.route.max_attempts);
+    if shared.settings.features.fair_shares {
+        // The lower half of a hash is a hash.
+        attempts.fingerprint = Some(client_request.parts.whole.0 as u64);
+    }
     let response = run_with_retries(shared, request, client_request, &mut attempts).await?;
     if !request.route.retry_policy.allows_resume() {
         return Ok(response);
@@ -341,8 +349,8 @@
                 );
                 return Err(rejection(cause, retry_after));
             }
-            PlacementOutcome::NoLeader => {
-                return place_locally(shared, request, &endpoints, attempts);
+            PlacementOutcome::NoLeader { has_waited } => {
+                return local::place_locally(shared, request, &endpoints, attempts, has_waited);
             }
         }
     }
@@ -393,61 +401,6 @@
     })
 }
 
-fn place_locally(
-    shared: &Arc<Shared>,
-    request: &IdentifiedRequest,
-    endpoints: &EndpointSet,
-    attempts: &Attempts,
-) -> Result<Assignment, Failure> {
-    info!(
-        "request={} step=place outcome=alone",
-        request.metadata.attempt_id
-    );
-    if attempts.tried.is_empty() {
-        quota::admit_without_leader(shared, request)?;
-    }
-    let now = shared.now();
-    let waited = now.since(request.arrived);
-    shared
-        .metrics
-        .record_placement(request.service.as_str(), "gateway", waited);
-    let tried = &attempts.tried;
-    let mut versions = LocalVersions::new(&shared.rollouts, request, attempts.began_on.as_ref());
-    let select = |role, versions: &LocalVersions| {
-        let usable = upstream::usable_endpoints(shared, now, endpoints, request, role, tried);
-        let usable = usable.into_iter().filter(|each| versions.allows(each));
-        upstream::select_usable(shared, now, request, &usable.collect::<Vec<_>>())
-    };
-    let kv_cache = attempts.kv_cache.as_ref();
-    let kv_cache = kv_cache.filter(|lease| versions.allows(&lease.endpoint));
-    let prefill = match kv_cache {
-        Some(lease) => {
-            versions.select(&lease.endpoint);
-            None
-        }
-        None => select(EndpointRole::Prefill, &versions),
-    };
-    if let Some(prefill) = &prefill {
-        versions.select(prefill);
-    }
-    let decode = select(EndpointRole::Decode, &versions);
-    let decode = decode.ok_or_else(|| not_run("no decode endpoint"))?;
-    let placement = Placement {
-        prefill: None,
-        decode: decode.listed.id.clone(),
-    };
-    let run = shared.placement.record_local_run(
-        &request.service,
-        |number| placement_request(shared, request, attempts, now, number),
-        placement,
-    );
-    Ok(Assignment {
-        prefill,
-        decode,
-        run,
-    })
-}
-
 const fn rejection(cause: PlacementRefusal, retry_after: Duration) -> Failure {
     let reason = match cause {
         PlacementRefusal::NoEndpoint => "no endpoint takes work",
@@ -503,6 +456,7 @@
             .as_ref()
             .map(|lease| lease.endpoint.listed.id.clone()),
         resumes: attempts.began_on.clone(),
+        fingerprint: attempts.fingerprint,
     }
 }
 
--- a/crates/mimosa-gateway/src/shared.rs
+++ b/crates/mimosa-gateway/src/shared.rs
@@ -27,6 +27,7 @@
 use crate::directory::Directory;
 use crate::dispatch::PlacementClient;
 use crate::local_quota::LocalQuota;
+use crate::local_share::LocalMemory;
 use crate::memory::GatewayMemory;
 use crate::metrics::Metrics;
 use crate::part_quarantine::KnownSuspects;
@@ -60,6 +61,8 @@
     pub(crate) directory: Directory,
     pub(crate) placement: Arc<PlacementClient>,
     pub(crate) local_quota: LocalQuota,
+    /// Decode memory held by requests that were placed without the leader.
+    pub(crate) local_memory: Arc<LocalMemory>,
     /// Prompt parts and requests that crash endpoints.
     pub(crate) suspects: KnownSuspects,
     /// Rollouts of services to new versions.
@@ -104,6 +107,7 @@
             directory,
             placement: Arc::default(),
             local_quota: LocalQuota::default(),
+            local_memory: Arc::default(),
             suspects: KnownSuspects::default(),
             rollouts: Rollouts::default(),
             metrics: Metrics::new(),
--- a/crates/mimosa-schedule/examples/speed_replay/model.rs
+++ b/crates/mimosa-schedule/examples/speed_replay/model.rs
@@ -257,6 +257,7 @@
         exclude: Vec::new(),
         kv_cache_at: None,
         resumes: None,
+        fingerprint: None,
     }
 }
 
@@ -279,5 +280,6 @@
         max_pause: Some(Duration::from_millis(300)),
         endpoints: endpoints.collect(),
         rollout: None,
+        weights: None,
     }
 }
--- a/crates/mimosa-schedule/src/fleet/message.rs
+++ b/crates/mimosa-schedule/src/fleet/message.rs
@@ -57,6 +57,9 @@
         /// Version on which the stream began that the request resumes; `None` for a request that may
         /// run on any version.
         pub resumes: Option<StreamVersion>,
+        /// Fingerprint of the content, equal if a client sends the request again; `None` if fair
+        /// shares are disabled at the gateway.
+        pub fingerprint: Option<u64>,
     }
 
     /// Version on which a stream began, and the only one on which it resumes during a rollout.
--- a/crates/mimosa-schedule/src/fleet/settings.rs
+++ b/crates/mimosa-schedule/src/fleet/settings.rs
@@ -1,5 +1,6 @@
 //! Endpoints and settings of the fleet scheduler.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use mimosa_protocol::DataCentreId;
@@ -11,6 +12,7 @@
 use mimosa_rollout::RolloutView;
 
 use crate::cold::Pacing;
+use crate::fair_share::Weights;
 
 /// Endpoints of a model service and their common properties.
 #[derive(Clone, Debug, Default)]
@@ -27,6 +29,8 @@
     pub endpoints: Vec<ViewEndpoint>,
     /// The latest rollout of the service; without one, versions are ignored.
     pub rollout: Option<RolloutView>,
+    /// Weights of the accounts, which enable fair shares; `None` disables them.
+    pub weights: Option<Arc<Weights>>,
 }
 
 /// An endpoint that may get requests.
--- a/crates/mimosa-schedule/src/lib.rs
+++ b/crates/mimosa-schedule/src/lib.rs
@@ -7,8 +7,9 @@
 //! service, holds them until they end, and runs the granted attempts.
 //!
 //! [`fleet`] is another scheduler, which places the requests of all gateways at endpoints of all data
-//! centres. [`pick`] and [`health`] serve gateways that select endpoints without a scheduler. [`speed`]
-//! serves both: it learns how fast each endpoint is.
+//! centres, with weighted fair shares of the accounts from [`fair_share`]. [`pick`] and [`health`] serve
+//! gateways that select endpoints without a scheduler. [`speed`] serves both: it learns how fast each
+//! endpoint is.
 //!
 //! A driver passes in all events, executes the returned actions, sends [`Event::Tick`] at the time
 //! that the policy requests, and validates each grant with a [`GrantFence`] before an attempt
@@ -127,6 +128,7 @@
 pub mod body_bound;
 pub mod cold;
 pub mod event;
+pub mod fair_share;
 pub mod fence;
 pub mod fleet;
 pub mod health;
--- a/crates/mimosa-schedule/tests/fleet/simulation.rs
+++ b/crates/mimosa-schedule/tests/fleet/simulation.rs
@@ -49,6 +49,7 @@
         max_pause: Some(Duration::from_millis(300)),
         endpoints: prefills.chain(decodes).collect(),
         rollout: None,
+        weights: None,
     }
 }
 
@@ -70,6 +71,7 @@
         exclude: Vec::new(),
         kv_cache_at: None,
         resumes: None,
+        fingerprint: None,
     }
 }
 
