--- a/crates/mimosa-control/tests/rollouts/harness.rs
+++ b/crates/mimosa-control/tests/rollouts/harness.rs
@@ -52,6 +52,8 @@
 use tempfile::TempDir;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::Semaphore;
+use tokio::sync::SemaphorePermit;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
@@ -170,7 +172,11 @@
     }
 }
 
+/// Clusters that run at a time. More of them delay each other's elections and requests.
+static RUNNING: Semaphore = Semaphore::const_new(3);
+
 pub struct Cluster {
+    _permit: SemaphorePermit<'static>,
     instances: BTreeMap<InstanceId, (Running, RoutingOrders)>,
     _folders: Vec<TempDir>,
     gateways: JoinSet<()>,
@@ -180,6 +186,7 @@
 impl Cluster {
     /// Starts three control instances and the gateways.
     pub async fn start(is_bad: IsBad) -> Self {
+        let permit = RUNNING.acquire().await.unwrap();
         let ips: Vec<IpAddr> = (1..=3)
             .map(|last| IpAddr::from([127, 0, 0, last]))
             .collect();
@@ -237,6 +244,7 @@
             folders.push(folder);
         }
         let mut cluster = Self {
+            _permit: permit,
             instances,
             _folders: folders,
             gateways: JoinSet::new(),
