--- a/crates/mimosa-entry/src/plain.rs
+++ b/crates/mimosa-entry/src/plain.rs
@@ -5,9 +5,7 @@
 use axum::body::Body;
 use axum::http::HeaderMap;
 use axum::http::HeaderName;
-use axum::http::HeaderValue;
 use axum::http::Method;
-use axum::http::StatusCode;
 use axum::http::header::CONNECTION;
 use axum::http::header::CONTENT_LENGTH;
 use axum::http::header::CONTENT_TYPE;
@@ -16,7 +14,6 @@
 use axum::http::header::TRAILER;
 use axum::http::header::TRANSFER_ENCODING;
 use axum::http::header::UPGRADE;
-use axum::response::IntoResponse;
 use axum::response::Response;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -57,10 +54,15 @@
 use crate::engine::EngineResponse;
 use crate::engine::PlainRequest;
 use crate::place::RequestQueue;
+use crate::plain::recorded::LedgerIntent;
+use crate::plain::recorded::end_of_failure;
+use crate::plain::recorded::recorded_response;
 use crate::retry::AttemptHistory;
 use crate::shared::Shared;
 use crate::suspects::TrackedCall;
 
+mod recorded;
+
 /// Header with the caller's key for a non-idempotent request. Repetitions under the same key get
 /// the recorded response instead of a second run.
 pub(crate) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
@@ -413,34 +415,6 @@
 #[error("the endpoint's process ended with its answer")]
 struct EndpointEnded;
 
-/// A recorded intent whose end is not recorded yet. If it is dropped first, as when the caller
-/// disconnects, the end is recorded as unknown.
-struct LedgerIntent<'a> {
-    service_request: &'a ServiceRequest,
-    key: Option<LedgerKey>,
-}
-
-impl LedgerIntent<'_> {
-    fn end(&mut self, end: LedgerEnd) {
-        if let Some(key) = self.key.take() {
-            self.service_request.finish(key, end);
-        }
-    }
-}
-
-impl Drop for LedgerIntent<'_> {
-    fn drop(&mut self) {
-        self.end(LedgerEnd::Unknown);
-    }
-}
-
-fn end_of_failure(failed: &AttemptFailure) -> LedgerEnd {
-    match failed.failure.ran {
-        ExecutionStatus::No => LedgerEnd::NotRun,
-        ExecutionStatus::Failed | ExecutionStatus::Unknown => LedgerEnd::Unknown,
-    }
-}
-
 fn refusal_of(failed: &AttemptFailure) -> Refusal {
     let EngineFailure { reason, ran, .. } = failed.failure;
     Refusal {
@@ -450,35 +424,6 @@
     }
 }
 
-/// A recorded body, and its bytes in the memory account.
-struct HeldAnswer {
-    body: Vec<u8>,
-    _holder: Reservation,
-}
-
-impl AsRef<[u8]> for HeldAnswer {
-    fn as_ref(&self) -> &[u8] {
-        &self.body
-    }
-}
-
-fn recorded_response(answer: RecordedAnswer, holder: Reservation) -> Response {
-    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
-    let body = HeldAnswer {
-        body: answer.body,
-        _holder: holder,
-    };
-    let mut response = (status, Bytes::from_owner(body)).into_response();
-    let content_type = answer
-        .content_type
-        .and_then(|text| HeaderValue::from_str(&text).ok());
-    match content_type {
-        Some(value) => response.headers_mut().insert(CONTENT_TYPE, value),
-        None => response.headers_mut().remove(CONTENT_TYPE),
-    };
-    response
-}
-
 /// An attempt whose endpoint has sent the head of its response.
 struct AnsweredCall {
     attempt: Attempt,
