Answer 502 for requests of an entry that may have run, in place of 503 or 408

Cause: a refusal keeps the status of its reason when an attempt before it may have run. An entry that stops answered 503 with "ran":"unknown" then, and a retry without an endpoint the same; clients take 408, 421, 429 and 503 as a promise that the request was not executed.

Change: such a refusal gets 502. Its reason and "ran" stay. The test of the planned stop now expects 502 instead of any status from 500 on; it would fail with the 503 of before.

--- a/crates/mimosa-entry/src/problem.rs
+++ b/crates/mimosa-entry/src/problem.rs
@@ -27,7 +27,7 @@
 
 /// Builds the response for a refusal. `retry-after` is rounded up to whole seconds.
 pub(crate) fn response(refusal: &Refusal) -> Response {
-    let status = status(refusal.reason);
+    let status = status_of(refusal);
     let problem = Problem {
         kind: format!("urn:mimosaswitch:refusal:{}", refusal.reason),
         title: title(refusal.reason),
@@ -62,6 +62,24 @@
     )
 }
 
+/// Status of a refusal. Clients take 408, 421, 429 and 503 as a promise that the request was not executed.
+fn status_of(refusal: &Refusal) -> StatusCode {
+    let status = status(refusal.reason);
+    let promises_not_run = matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    );
+    match refusal.ran {
+        ExecutionStatus::Failed | ExecutionStatus::Unknown if promises_not_run => {
+            StatusCode::BAD_GATEWAY
+        }
+        _ => status,
+    }
+}
+
 fn status(reason: RefusalReason) -> StatusCode {
     match reason {
         RefusalReason::Unauthenticated => StatusCode::UNAUTHORIZED,
--- a/tests/session/planned_stop.rs
+++ b/tests/session/planned_stop.rs
@@ -49,7 +49,8 @@
         system.signal("a", "TERM");
     };
     let (answer, ()) = tokio::join!(answer, stop);
-    expect_that!(answer.status, ge(500), "{role}");
+    // 503 would promise that the request was not executed.
+    expect_that!(answer.status, eq(502), "{role}");
     expect_that!(
         answer.body,
         contains_substring(r#""ran":"unknown""#),
