Log the memory pressure of gateways with the shared module

Cause: gateways had their own copy of the log line that entries and control instances take from mimosa_transport. Change: PressureLog takes the numbers of connections, so that all three roles use it.

--- a/crates/mimosa-control/src/memory.rs
+++ b/crates/mimosa-control/src/memory.rs
@@ -66,7 +66,9 @@
             if self.limits.is_limited {
                 account.evict_stalled(now, STALLED_TIME);
             }
-            log.update(now, &account.usage(), sizes.general, &self.connections);
+            let connections = &self.connections;
+            let (open, closed) = (connections.open(), connections.closed_for_room());
+            log.update(now, &account.usage(), sizes.general, open, closed);
         }
     }
 }
--- a/crates/mimosa-entry/src/memory.rs
+++ b/crates/mimosa-entry/src/memory.rs
@@ -80,9 +80,11 @@
             account.evict_stalled(now, STALLED_TIME);
         }
         let usage = account.usage();
-        let pressure = log.update(now, &usage, sizes.general, &memory.connections);
+        let connections = &memory.connections;
+        let (open, closed) = (connections.open(), connections.closed_for_room());
+        let pressure = log.update(now, &usage, sizes.general, open, closed);
         let metrics = &shared.metrics.memory;
-        metrics.set(&usage, pressure, memory.connections.open());
+        metrics.set(&usage, pressure, open);
         metrics.add_rejections("evicted", usage.evicted - before.evicted);
         metrics.add_rejections("stalled", usage.stalled - before.stalled);
         metrics.add_rejections("refused", usage.refused - before.refused);
--- a/crates/mimosa-gateway/src/memory.rs
+++ b/crates/mimosa-gateway/src/memory.rs
@@ -3,16 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::Level;
 use log::info;
-use log::log;
 use mimosa_memory::Memory;
-use mimosa_memory::Pressure;
-use mimosa_memory::PressureTracker;
 use mimosa_memory::Usage;
-use mimosa_memory::pressure::PressureChange;
 use mimosa_memory::sizes::ProcessLimits;
 use mimosa_memory::sizes::ProcessSizes;
+use mimosa_transport::pressure_log::PressureLog;
 use tokio::time::sleep;
 
 use crate::shared::Shared;
@@ -80,7 +76,7 @@
         memory.max_connections,
         memory.max_endpoint_connections
     );
-    let mut tracker = PressureTracker::default();
+    let mut log = PressureLog::default();
     let mut before = Usage::default();
     loop {
         sleep(WATCH_INTERVAL).await;
@@ -91,10 +87,8 @@
         let usage = memory.account.usage();
         let open = shared.client_connections.open();
         let closed = shared.client_connections.closed_for_room();
-        if let Some(change) = tracker.update(now, &usage, sizes.general, closed) {
-            log_change(&change, &usage, open);
-        }
-        shared.metrics.set_memory(&usage, tracker.pressure(), open);
+        let pressure = log.update(now, &usage, sizes.general, open, closed);
+        shared.metrics.set_memory(&usage, pressure, open);
         shared.metrics.add_rejections(
             usage.evicted - before.evicted,
             usage.stalled - before.stalled,
@@ -103,24 +97,3 @@
         before = usage;
     }
 }
-
-fn log_change(change: &PressureChange, usage: &Usage, connections: usize) {
-    let level = match change.to {
-        Pressure::Full => Level::Warn,
-        Pressure::Low | Pressure::High => Level::Info,
-    };
-    log!(
-        level,
-        "event=memory_pressure from={} to={} general={} reserved={} holders={} evicted={} \
-         stalled={} refused={} connections={connections} connections_closed={}",
-        change.from,
-        change.to,
-        usage.general,
-        usage.reserved,
-        usage.holders,
-        change.evicted,
-        change.stalled,
-        change.refused,
-        change.closed
-    );
-}
--- a/crates/mimosa-transport/src/pressure_log.rs
+++ b/crates/mimosa-transport/src/pressure_log.rs
@@ -7,23 +7,21 @@
 use mimosa_memory::pressure::PressureTracker;
 use mimosa_protocol::Timestamp;
 
-use crate::bounded_connections::BoundedConnections;
-
 /// Follows the pressure and logs its changes.
 #[derive(Debug, Default)]
 pub struct PressureLog(PressureTracker);
 
 impl PressureLog {
     /// Evaluates the pressure and logs a change of it. `size` is that of the part of the account for holders of any
-    /// size.
+    /// size, `open` the number of connections, and `closed` the number of those closed for others so far.
     pub fn update(
         &mut self,
         now: Timestamp,
         usage: &Usage,
         size: u64,
-        connections: &BoundedConnections,
+        open: usize,
+        closed: u64,
     ) -> Pressure {
-        let closed = connections.closed_for_room();
         if let Some(change) = self.0.update(now, usage, size, closed) {
             let level = match change.to {
                 Pressure::Full => Level::Warn,
@@ -41,7 +39,7 @@
                 change.evicted,
                 change.stalled,
                 change.refused,
-                connections.open(),
+                open,
                 change.closed
             );
         }
