Use learned speeds where model endpoints are found to differ

Change: with uneven_speeds, which replaces stated_speeds, the leader's scheduler learns the speeds of all model services, and uses them once the third quartile of the prefill times is 1.4 times the first.

--- a/crates/mimosa-config/src/features.rs
+++ b/crates/mimosa-config/src/features.rs
@@ -29,7 +29,7 @@
     let features = Features {
         endpoint_speeds: reader.or("endpoint_speeds", default.endpoint_speeds, faults),
         fair_shares: reader.or("fair_shares", default.fair_shares, faults),
-        stated_speeds: reader.or("stated_speeds", default.stated_speeds, faults),
+        uneven_speeds: reader.or("uneven_speeds", default.uneven_speeds, faults),
         load_probes: reader.or("load_probes", default.load_probes, faults),
     };
     reader.report_unknown_fields(faults);
--- a/crates/mimosa-control/src/routing/dispatch/inner.rs
+++ b/crates/mimosa-control/src/routing/dispatch/inner.rs
@@ -253,7 +253,7 @@
         let wait_until = self.lead_since + TAKEOVER_DELAY;
         let settings = Settings {
             endpoint_speeds: self.features.endpoint_speeds,
-            stated_speeds: self.features.stated_speeds,
+            uneven_speeds: self.features.uneven_speeds,
             ..Settings::default()
         };
         let fleet = self
--- a/crates/mimosa-gateway/src/speed.rs
+++ b/crates/mimosa-gateway/src/speed.rs
@@ -102,7 +102,7 @@
 
     /// Whether the times that endpoints state are used.
     const fn uses_stated_times(&self) -> bool {
-        self.features.endpoint_speeds || self.features.stated_speeds
+        self.features.endpoint_speeds || self.features.uneven_speeds
     }
 
     /// Records a complete successful response of a plain endpoint.
--- a/crates/mimosa-protocol/src/features.rs
+++ b/crates/mimosa-protocol/src/features.rs
@@ -5,8 +5,8 @@
 pub struct Features {
     /// Whether requests for models are placed by the speed learned for each endpoint.
     pub endpoint_speeds: bool,
-    /// The same, but only for services whose endpoints state how long work takes at the moment.
-    pub stated_speeds: bool,
+    /// The same, but only for services whose endpoints are found to differ in speed.
+    pub uneven_speeds: bool,
     /// Whether gateways ask plain endpoints for their load before they select one. The calls cost
     /// connections and processor time at the endpoints, and platforms may charge them.
     pub load_probes: bool,
@@ -20,7 +20,7 @@
     pub const fn union(self, other: Self) -> Self {
         Self {
             endpoint_speeds: self.endpoint_speeds || other.endpoint_speeds,
-            stated_speeds: self.stated_speeds || other.stated_speeds,
+            uneven_speeds: self.uneven_speeds || other.uneven_speeds,
             load_probes: self.load_probes || other.load_probes,
             fair_shares: self.fair_shares || other.fair_shares,
         }
--- a/crates/mimosa-schedule/src/fleet.rs
+++ b/crates/mimosa-schedule/src/fleet.rs
@@ -114,7 +114,7 @@
                 settings.initial_prefill_rate,
                 settings.initial_token_time,
             ),
-            speeds: settings.endpoint_speeds.then(EndpointSpeeds::default),
+            speeds: EndpointSpeeds::new(settings.endpoint_speeds, settings.uneven_speeds),
             settings,
             view: View::default(),
             endpoints: BTreeMap::new(),
--- a/crates/mimosa-schedule/src/fleet/settings.rs
+++ b/crates/mimosa-schedule/src/fleet/settings.rs
@@ -84,10 +84,10 @@
     /// Maximum time for which a decode endpoint processes a prompt, in thousandths of the longest
     /// pause that callers accept, because the outputs there pause in the meantime.
     pub prompt_pause_permille: u32,
-    /// Whether the speed of each endpoint is learned and used.
+    /// Whether the speed of each endpoint is learned and used at once.
     pub endpoint_speeds: bool,
-    /// Whether this begins as soon as an endpoint of the service states how long work takes.
-    pub stated_speeds: bool,
+    /// Whether the speed of each endpoint is learned, and used as soon as endpoints are found to differ.
+    pub uneven_speeds: bool,
     /// Backoff after an endpoint reported that it had no capacity.
     pub no_capacity_backoff: Duration,
 }
@@ -107,7 +107,7 @@
             decode_prefill_factor: 2,
             prompt_pause_permille: 650,
             endpoint_speeds: false,
-            stated_speeds: false,
+            uneven_speeds: false,
             no_capacity_backoff: Duration::from_millis(300),
         }
     }
--- a/crates/mimosa-schedule/src/fleet/speeds.rs
+++ b/crates/mimosa-schedule/src/fleet/speeds.rs
@@ -1,8 +1,8 @@
 //! Speeds of the endpoints of a model, as the fleet scheduler uses them.
 //!
 //! They are used with [`Settings::endpoint_speeds`](super::Settings::endpoint_speeds), and with
-//! [`Settings::stated_speeds`](super::Settings::stated_speeds) once an endpoint of the service states how
-//! long work takes. Otherwise all endpoints of a role are assumed to be equally fast.
+//! [`Settings::uneven_speeds`](super::Settings::uneven_speeds) once endpoints are found to differ.
+//! Otherwise all endpoints of a role are assumed to be equally fast.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -40,9 +40,40 @@
     /// Usual delay of the reports that a prompt was processed. It is that of the messages between the
     /// scheduler and distant gateways.
     usual_delay: Duration,
+    /// Whether placements use the speeds. Stays true, so that placements do not alternate between two
+    /// policies.
+    is_in_use: bool,
 }
 
 impl EndpointSpeeds {
+    /// Speeds that are used at once, or when endpoints are found to differ; `None` if neither is set.
+    pub(super) fn new(is_in_use: bool, learns: bool) -> Option<Self> {
+        (is_in_use || learns).then(|| Self {
+            is_in_use,
+            ..Self::default()
+        })
+    }
+
+    /// Whether a quarter of the prefill endpoints or more needs much longer than another quarter. Single
+    /// endpoints are also slow for seconds after their start, which is no reason to place otherwise.
+    fn are_uneven(&self, now: Timestamp) -> bool {
+        /// Endpoints below which quarters say nothing.
+        const MIN_ENDPOINTS: usize = 4;
+        /// Ratio of the quartiles. Endpoints that differ by less cost no request its latency target:
+        /// prompts of 5,000 tokens take a tenth of it.
+        const MIN_RATIO_PERMILLE: u64 = 1_400;
+        let times = self.prefill.estimates(now);
+        let mut times: Vec<u64> = times
+            .map(|(_, each)| u64::from(each.time_permille))
+            .collect();
+        times.sort_unstable();
+        if times.len() < MIN_ENDPOINTS {
+            return false;
+        }
+        let (low, high) = (times[times.len() / 4], times[times.len() * 3 / 4]);
+        high * u64::from(WHOLE_PERMILLE) >= low * MIN_RATIO_PERMILLE
+    }
+
     /// Records the duration of a prefill that did not wait for another one.
     pub(super) fn record_prefill(
         &mut self,
@@ -56,6 +87,7 @@
         // Bounds the effect of a single wrong measurement.
         let sums = WorkSums::one(1, permille.clamp(100, 10_000));
         self.prefill.record(now, endpoint, &sums);
+        self.is_in_use = self.is_in_use || self.are_uneven(now);
     }
 
     /// Records the duration of a complete output, at whose end `running` requests ran.
@@ -120,11 +152,13 @@
 }
 
 impl FleetScheduler {
+    /// The speeds, if placements use them.
+    fn speeds_in_use(&self) -> Option<&EndpointSpeeds> {
+        self.speeds.as_ref().filter(|speeds| speeds.is_in_use)
+    }
+
     /// Records how long work takes at an endpoint at this moment, as the endpoint states.
     pub(super) fn on_stated(&mut self, now: Timestamp, endpoint: &EndpointId, percent: u16) {
-        if self.settings.stated_speeds && self.speeds.is_none() {
-            self.speeds = Some(EndpointSpeeds::default());
-        }
         if let Some(speeds) = &mut self.speeds
             && let Some(known) = self.endpoints.get(endpoint)
             && known.is_prefill()
@@ -136,7 +170,7 @@
     /// Lists the slowest endpoints of each role for the log, as `id:time`; the time in thousandths of the
     /// mean. Empty without speeds.
     pub(super) fn speeds_summary(&self, now: Timestamp) -> String {
-        let Some(speeds) = &self.speeds else {
+        let Some(speeds) = self.speeds_in_use() else {
             return String::new();
         };
         let prefill = slowest(now, &speeds.prefill);
@@ -152,7 +186,7 @@
         prompt: Tokens,
     ) -> Duration {
         let time = self.estimates.prefill_time(prompt);
-        match &self.speeds {
+        match self.speeds_in_use() {
             Some(speeds) => {
                 let current = speeds.prefill.current_permille(now, endpoint);
                 time.mul_f64(speeds.prefill_ratio(now, endpoint)) * current / WHOLE_PERMILLE
@@ -168,7 +202,7 @@
         endpoint: &EndpointId,
         running: usize,
     ) -> Duration {
-        let speeds = self.speeds.as_ref();
+        let speeds = self.speeds_in_use();
         let nanos =
             speeds.and_then(|speeds| speeds.decode.expected_work(now, endpoint, running as u64));
         nanos.map_or(self.estimates.token_time(), |nanos| {
@@ -187,7 +221,7 @@
         token_time: Duration,
         tokens: u64,
     ) -> u64 {
-        let Some(speeds) = &self.speeds else {
+        let Some(speeds) = self.speeds_in_use() else {
             return tokens;
         };
         let own = token_time.as_secs_f64();
@@ -209,7 +243,7 @@
         /// Delay of a response that says nothing about the endpoint.
         const MIN_OVERDUE: Duration = Duration::from_millis(10);
         let free_at = endpoint.free_at(now);
-        let Some(speeds) = &self.speeds else {
+        let Some(speeds) = self.speeds_in_use() else {
             return free_at;
         };
         let overdue = endpoint.overdue(now, self.estimates.prefill_latency());
@@ -229,7 +263,7 @@
         free_at: Timestamp,
         prompt: Tokens,
     ) -> Timestamp {
-        match &self.speeds {
+        match self.speeds_in_use() {
             Some(speeds) => {
                 let time = self.prefill_time_at(now, endpoint, prompt);
                 free_at.max(now) + time / speeds.trial_divisor(now, endpoint)
@@ -241,7 +275,7 @@
     /// Demand with the times at endpoints of the mean rate of their pool. The estimates of the service
     /// follow the endpoints that get the most requests.
     pub(super) fn demand_at_endpoints(&self, now: Timestamp, demand: Demand) -> Demand {
-        let Some(speeds) = &self.speeds else {
+        let Some(speeds) = self.speeds_in_use() else {
             return demand;
         };
         let pool = |is: fn(&FleetEndpoint) -> bool| {
--- a/crates/mimosa-schedule/tests/fleet/speeds.rs
+++ b/crates/mimosa-schedule/tests/fleet/speeds.rs
@@ -210,3 +210,72 @@
         ]
     );
 }
+
+/// Runs rounds of concurrent requests, one for each prefill endpoint, on endpoints of which a third needs
+/// `slow_ms` and the others 70 ms.
+fn run_rounds(settings: Settings, slow_ms: u64) -> (FleetScheduler, Vec<Placement>) {
+    const PREFILLS: usize = 6;
+    const ROUNDS: u64 = 12;
+    let mut fleet = FleetScheduler::new(settings, Timestamp::ZERO);
+    fleet.handle(START, Event::Configure(view_of(PREFILLS, 6)));
+    let mut placements = Vec::new();
+    for round in 0..ROUNDS {
+        let now = START + Duration::from_secs(2) * round as u32;
+        let mut ends = Vec::new();
+        for at in 0..PREFILLS as u64 {
+            let number = round * PREFILLS as u64 + at;
+            let Some(placement) = submit(&mut fleet, now, number) else {
+                continue;
+            };
+            let prefill = placement.prefill.clone().expect("there are prefills");
+            let is_slow = prefill.as_str().ends_with(['1', '2']);
+            let took = Duration::from_millis(if is_slow { slow_ms } else { 70 });
+            ends.push((took, number));
+            placements.push(placement);
+        }
+        ends.sort_unstable();
+        for (took, number) in ends {
+            let event = Event::Prefilled {
+                id: id(number),
+                took,
+            };
+            fleet.handle(now + took, event);
+            let end = RunEnd::Complete(Tokens(OUTPUT));
+            let event = Event::Ended {
+                id: id(number),
+                end,
+            };
+            fleet.handle(now + Duration::from_secs(1), event);
+        }
+    }
+    (fleet, placements)
+}
+
+fn uneven_speeds() -> Settings {
+    Settings {
+        uneven_speeds: true,
+        ..Settings::default()
+    }
+}
+
+/// Guards against a change of placement on deployments whose endpoints are alike.
+#[googletest::test]
+fn endpoints_that_are_alike_are_placed_as_without_the_feature() {
+    let (_, with) = run_rounds(uneven_speeds(), 80);
+    let (_, without) = run_rounds(Settings::default(), 80);
+    expect_that!(with, eq(&without));
+}
+
+/// Guards against prompts at a slow endpoint while a fast one is idle.
+#[googletest::test]
+fn endpoints_that_differ_are_placed_by_speed() {
+    let later = START + Duration::from_secs(30);
+    let is_slow = |placement: Option<Placement>| {
+        let prefill = placement.and_then(|placement| placement.prefill);
+        prefill.map(|id| id.as_str().ends_with(['1', '2']))
+    };
+    let (mut with, _) = run_rounds(uneven_speeds(), 170);
+    expect_that!(is_slow(submit(&mut with, later, 1_000)), some(eq(false)));
+    let (mut without, _) = run_rounds(Settings::default(), 170);
+    expect_that!(is_slow(submit(&mut without, later, 1_000)), some(eq(true)));
+}
