Show that clients that pause while they read lose their answers

Cause: the user timeout of 3 s, meant for peers that vanished, also ends connections whose live client keeps its window closed for as long.

--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -159,7 +159,7 @@
 }
 
 /// Reads a whole response from a connection that may be kept.
-pub fn receive_from(reader: &mut BufReader<TcpStream>) -> Result<Response> {
+pub fn receive_from(reader: &mut impl BufRead) -> Result<Response> {
     let head = Head::read(reader)?.ok_or_else(|| Error::from(ErrorKind::UnexpectedEof))?;
     let mut body = Vec::new();
     let ended = read_response_body(reader, &head, &mut body);
--- a/review/standins-2/src/worker.rs
+++ b/review/standins-2/src/worker.rs
@@ -136,6 +136,8 @@
     /// Events of each stream, and the pause between two of them.
     pub events: usize,
     pub gap: Duration,
+    /// Bytes that are added to each event.
+    pub padding: usize,
     /// Requests that are preempted after [`PREEMPTED_AFTER`] events, by their ids, and for how long.
     pub preempted: Vec<String>,
     pub preempted_for: Duration,
@@ -154,6 +156,7 @@
             slots,
             events: 20,
             gap: Duration::from_millis(50),
+            padding: 0,
             preempted: Vec::new(),
             preempted_for: Duration::ZERO,
             prefill_time: Duration::from_millis(40),
@@ -252,7 +255,8 @@
                 self.record
                     .line(&format!("worker {} goes on with {attempt}", self.id));
             }
-            let event = format!("id: {number}\ndata: event {number} of {attempt}\n\n");
+            let padding = "z".repeat(self.padding);
+            let event = format!("id: {number}\ndata: event {number} of {attempt} {padding}\n\n");
             let size = event.len();
             writer.write_all(format!("{size:x}\r\n{event}\r\n").as_bytes())?;
             thread::sleep(self.gap);
