--- a/review/standins-2/src/deployment.rs
+++ b/review/standins-2/src/deployment.rs
@@ -17,6 +17,8 @@
 use std::time::SystemTime;
 
 use crate::http;
+use crate::proxy;
+use crate::proxy::Hold;
 use crate::record::Record;
 
 const PEER_PORT: u16 = 7500;
@@ -49,6 +51,8 @@
     program: PathBuf,
     subnet: [u8; 2],
     list: SocketAddr,
+    /// What the other control instances send to each one, if proxies stand between them.
+    pub holds: Vec<Hold>,
     pub controls: Vec<Process>,
     pub gateways: Vec<Process>,
 }
@@ -100,6 +104,7 @@
             program: program.into(),
             subnet,
             list,
+            holds: Vec::new(),
             controls: (0..controls)
                 .map(|number| process("control", number, 1))
                 .collect(),
@@ -109,6 +114,25 @@
         })
     }
 
+    /// Places a proxy before the peer port of each control instance, before they are started.
+    pub fn place_proxies(&mut self) -> io::Result<()> {
+        for number in 0..self.controls.len() {
+            let advertised = SocketAddr::new(self.controls[number].ip, PEER_PORT);
+            let hold = proxy::start(
+                advertised,
+                SocketAddr::new(self.hidden_ip(number), PEER_PORT),
+            )?;
+            self.holds.push(hold);
+        }
+        Ok(())
+    }
+
+    /// Address on which a control instance behind a proxy accepts its peers.
+    fn hidden_ip(&self, number: usize) -> IpAddr {
+        let [b, c] = self.subnet;
+        IpAddr::from([127, b, c, 51 + number as u8])
+    }
+
     /// Starts all processes.
     pub fn start_all(&mut self) -> io::Result<()> {
         for number in 0..self.controls.len() {
@@ -236,9 +260,13 @@
         let data = self.folder.join(format!("{}-data", process.name));
         let folder = data.display();
         let found = process.starts == 0;
+        let peer_ip = match self.holds.is_empty() {
+            true => ip,
+            false => self.hidden_ip(number),
+        };
         format!(
             "{}\n[control]\ndata_folder = \"{folder}\"\n\
-             admin_listen = \"{ip}:{OPERATOR_PORT}\"\npeer_listen = \"{ip}:{PEER_PORT}\"\n\
+             admin_listen = \"{ip}:{OPERATOR_PORT}\"\npeer_listen = \"{peer_ip}:{PEER_PORT}\"\n\
              entry_listen = \"{ip}:{GATEWAY_PORT}\"\nheartbeat = \"1s\"\n\n\
              [control.routing]\nseeds = [{}]\nfound = {found}\nendpoint_list = \"{}\"\n\
              list_call_rate = \"40\"\ntolerated_losses = 1\nquota_overage = \"0.1\"\n\
--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod deployment;
 pub mod http;
 pub mod list;
+pub mod proxy;
 pub mod record;
 pub mod worker;
