Cut only the leader's links in the case of the lost queue

The proxies held up the links between the other instances as well, which is more than one machine cut off, and the claim that these carry nothing was wrong: instances ping each other every 500 ms. Proxies now tell senders apart.

--- a/review/standins-2/src/bin/case-leader.rs
+++ b/review/standins-2/src/bin/case-leader.rs
@@ -1,6 +1,6 @@
 //! Requests that wait in the queue of the leader, while the leader loses its quorum and leads again.
 //!
-//! What the core processes send to each other is held up for 0.75 s. The leader steps down, and is elected
+//! The links between the leader and the other core processes are held up for up to 0.75 s. The leader steps down, and is elected
 //! again in about every third round; the rounds go on until it is. With `VARIANT=kill` two core processes are killed instead,
 //! and the same instance always leads again.
 
@@ -48,7 +48,7 @@
     timeout: Duration::from_millis(18_000),
     target: Duration::from_millis(6_000),
 };
-/// Time for which only what is sent to the leader is held up, and for which all links of the core are.
+/// Time for which only what is sent to the leader is held up, and for which what it sends is, too.
 const HELD_ALONE: Duration = Duration::from_millis(250);
 const HELD_TOGETHER: Duration = Duration::from_millis(450);
 const MAX_ROUNDS: usize = 22;
@@ -146,21 +146,22 @@
     Ok(is_broken)
 }
 
-/// Holds up what the core processes send to each other: first what is sent to the leader, for a part of the
-/// time also the rest. All of it arrives late; nothing is lost.
+/// Cuts the leader off from the other core processes: what they send to it is held up, and for a part of the
+/// time what it sends. All of it arrives late; nothing is lost. The links between the others are untouched.
 fn hold_links(record: &Record, deployment: &Deployment, leader: usize) {
+    let leader_ip = deployment.operator(leader).ip();
     let others = || {
         let holds = deployment.holds.iter().enumerate();
         holds.filter(move |(number, _)| *number != leader)
     };
     record.line(&format!("what is sent to control-{leader} is held up"));
-    deployment.holds[leader].set(true);
+    deployment.holds[leader].hold_all();
     thread::sleep(HELD_ALONE);
-    others().for_each(|(_, hold)| hold.set(true));
+    others().for_each(|(_, hold)| hold.hold_one(leader_ip));
     thread::sleep(HELD_TOGETHER);
-    others().for_each(|(_, hold)| hold.set(false));
+    others().for_each(|(_, hold)| hold.release());
     thread::sleep(Duration::from_millis(50));
-    deployment.holds[leader].set(false);
+    deployment.holds[leader].release();
     record.line(&format!("control-{leader} is reached again"));
 }
 
