Withdraw the case of the paused streams, and give slow readers the settings of their site

The worker of the withdrawn case preempted all its streams with an almost empty memory; a worker may only preempt the newest, when its memory runs out.

--- a/review/standins-2/src/bin/case-slow-reader.rs
+++ b/review/standins-2/src/bin/case-slow-reader.rs
@@ -59,6 +59,8 @@
     let list = List::default();
     let mut deployment =
         Deployment::new(record.clone(), 3, 1, list.serve().map_err(text)?).map_err(text)?;
+    deployment.contracts = deployment::HOLMGAARD;
+    deployment.gateway_memory = "88MB";
     for (name, stage) in [("w-prefill", "prefill"), ("w-decode", "decode")] {
         start_worker(record, &list, name, stage).map_err(text)?;
     }
--- a/review/standins-2/src/deployment.rs
+++ b/review/standins-2/src/deployment.rs
@@ -27,6 +27,10 @@
 const CLIENT_PORT: u16 = 8360;
 const READINESS_PORT: u16 = 8365;
 
+/// Contracts in force on the sites.
+const KEMBANG_CARDS: &str = r#""base", "drain", "config", "cost", "retry", "recover", "split", "stream", "engine", "tenants", "quota", "places""#;
+pub const HOLMGAARD: &str = r#""base", "drain", "config", "cost", "retry", "recover", "health", "pool", "split", "stream", "engine", "tenants", "quota", "pressure""#;
+
 pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
@@ -51,6 +55,9 @@
     program: PathBuf,
     subnet: [u8; 2],
     list: SocketAddr,
+    /// The contracts of the site, and the memory of its gateways.
+    pub contracts: &'static str,
+    pub gateway_memory: &'static str,
     /// What the other control instances send to each one, if proxies stand between them.
     pub holds: Vec<Hold>,
     pub controls: Vec<Process>,
@@ -104,6 +111,8 @@
             program: program.into(),
             subnet,
             list,
+            contracts: KEMBANG_CARDS,
+            gateway_memory: "110MB",
             holds: Vec::new(),
             controls: (0..controls)
                 .map(|number| process("control", number, 1))
@@ -271,7 +280,7 @@
              [control.routing]\nseeds = [{}]\nfound = {found}\nendpoint_list = \"{}\"\n\
              list_call_rate = \"40\"\ntolerated_losses = 1\nquota_overage = \"0.1\"\n\
              quota_slack = 120000\nmetrics = \"{ip}:9465\"\norder_lease = \"3000ms\"\n",
-            common_settings(process, "256MB", 4096),
+            common_settings(process, self.contracts, "256MB", 4096),
             self.seeds(),
             self.list
         )
@@ -285,7 +294,7 @@
             "{}\n[gateway]\nlisten = \"{ip}:{CLIENT_PORT}\"\nreadiness = \"{ip}:{READINESS_PORT}\"\n\
              seeds = [{}]\ncontrol_port = {GATEWAY_PORT}\ndrain_time = \"8s\"\n\
              metrics = \"{ip}:9464\"\nretry_ratio = \"0.2\"\nretry_slack = 52\n",
-            common_settings(process, "110MB", 4100),
+            common_settings(process, self.contracts, self.gateway_memory, 4100),
             self.seeds()
         )
     }
@@ -304,13 +313,12 @@
     }
 }
 
-fn common_settings(process: &Process, memory: &str, descriptors: u32) -> String {
+fn common_settings(process: &Process, contracts: &str, memory: &str, descriptors: u32) -> String {
     let (ip, zone) = (process.ip, &process.zone);
     format!(
         "[instance]\nid = \"{ip}\"\ndata_centre = \"{zone}\"\ncluster = \"mimosaswitch\"\n\n\
          [runtime]\nthreads = 1\n\n[limits]\nmemory = \"{memory}\"\ndescriptors = {descriptors}\n\n\
-         [platform]\ncontracts = [\"base\", \"drain\", \"config\", \"cost\", \"retry\", \"recover\", \
-         \"split\", \"stream\", \"engine\", \"tenants\", \"quota\", \"places\"]\n\n\
+         [platform]\ncontracts = [{contracts}]\n\n\
          [features]\nuneven_speeds = true\n"
     )
 }
--- a/review/standins-2/src/worker.rs
+++ b/review/standins-2/src/worker.rs
@@ -125,9 +125,6 @@
     Ok(true)
 }
 
-/// Events after which a request is preempted.
-const PREEMPTED_AFTER: usize = 12;
-
 /// A model worker that streams events.
 pub struct ModelWorker {
     pub id: String,
@@ -138,9 +135,6 @@
     pub gap: Duration,
     /// Bytes that are added to each event.
     pub padding: usize,
-    /// Requests that are preempted after [`PREEMPTED_AFTER`] events, by their ids, and for how long.
-    pub preempted: Vec<String>,
-    pub preempted_for: Duration,
     /// Time that a prefill takes.
     pub prefill_time: Duration,
     pub record: Record,
@@ -157,8 +151,6 @@
             events: 20,
             gap: Duration::from_millis(50),
             padding: 0,
-            preempted: Vec::new(),
-            preempted_for: Duration::ZERO,
             prefill_time: Duration::from_millis(40),
             record,
             running: AtomicUsize::new(0),
@@ -248,13 +240,6 @@
         )?;
         let after = request.head.field("last-event-id").parse().unwrap_or(0);
         for number in after + 1..=self.events_of(attempt) {
-            if number == PREEMPTED_AFTER && self.preempted.iter().any(|each| each == attempt) {
-                self.record
-                    .line(&format!("worker {} preempts {attempt}", self.id));
-                thread::sleep(self.preempted_for);
-                self.record
-                    .line(&format!("worker {} goes on with {attempt}", self.id));
-            }
             let padding = "z".repeat(self.padding);
             let event = format!("id: {number}\ndata: event {number} of {attempt} {padding}\n\n");
             let size = event.len();
