Keep connections of clients that pause while they read

Callers saw a reset in the middle of an answer that its endpoint had finished, once they had read nothing for 3 s. TCP_USER_TIMEOUT was meant for peers that vanished, but Linux also counts the time for which a live peer acknowledges each probe with a closed window. Sockets of clients no longer have the limit. Vanished clients are noticed by keep-alive probes, the idle timeout, and the memory account, which now also closes readers without progress where memory is not limited.

--- a/crates/mimosa-entry/src/memory.rs
+++ b/crates/mimosa-entry/src/memory.rs
@@ -20,6 +20,9 @@
 /// Time without progress after which a body is closed although there is room. A client may pause for
 /// 2 s.
 const STALLED_TIME: Duration = Duration::from_secs(10);
+/// The same where memory is not limited, so that readers that vanished are closed as well: the kernel notices
+/// them only while nothing is on its way to them.
+const UNLIMITED_STALLED_TIME: Duration = Duration::from_secs(60);
 /// Memory of a client connection: its task, its read buffer with a usual head, and unsent bytes up to 4 KiB.
 const CONNECTION_BYTES: u64 = 32 << 10;
 /// Receive buffer of client connections where memory is limited. Linux doubles it.
@@ -76,9 +79,11 @@
     loop {
         sleep(WATCH_INTERVAL).await;
         let now = shared.now();
-        if memory.is_limited() {
-            account.evict_stalled(now, STALLED_TIME);
-        }
+        let stalled_time = match memory.is_limited() {
+            true => STALLED_TIME,
+            false => UNLIMITED_STALLED_TIME,
+        };
+        account.evict_stalled(now, stalled_time);
         let usage = account.usage();
         let connections = &memory.connections;
         let (open, closed) = (connections.open(), connections.closed_for_room());
--- a/crates/mimosa-gateway/src/memory.rs
+++ b/crates/mimosa-gateway/src/memory.rs
@@ -19,6 +19,9 @@
 /// Time without progress after which a body is closed although there is room. A client may pause for
 /// 2 s; the kernel closes connections to vanished clients after 9 s.
 const STALLED_BODY_TIME: Duration = Duration::from_secs(10);
+/// The same where memory is not limited, so that readers that vanished are closed as well: the kernel notices
+/// them only while nothing is on its way to them.
+const UNLIMITED_STALLED_TIME: Duration = Duration::from_secs(60);
 /// Memory of a client connection: up to 24 KiB of read buffer, and its task. Measured: 16 KiB idle,
 /// 34 KiB with a head of 15 KB (debug build).
 const CONNECTION_BYTES: u64 = 32 << 10;
@@ -81,9 +84,11 @@
     loop {
         sleep(WATCH_INTERVAL).await;
         let now = shared.now();
-        if memory.is_limited() {
-            memory.account.evict_stalled(now, STALLED_BODY_TIME);
-        }
+        let stalled_time = match memory.is_limited() {
+            true => STALLED_BODY_TIME,
+            false => UNLIMITED_STALLED_TIME,
+        };
+        memory.account.evict_stalled(now, stalled_time);
         let usage = memory.account.usage();
         let open = shared.client_connections.open();
         let closed = shared.client_connections.closed_for_room();
--- a/crates/mimosa-gateway/src/server.rs
+++ b/crates/mimosa-gateway/src/server.rs
@@ -246,7 +246,7 @@
     shared: &Arc<Shared>,
     graceful: &GracefulShutdown,
 ) -> impl Future<Output = ()> + use<> {
-    socket::configure(&stream);
+    socket::configure_for_slow_reader(&stream);
     if let Some(bytes) = shared.memory.receive_buffer() {
         socket::bound_receive_buffer(&stream, bytes);
     }
--- a/crates/mimosa-transport/src/socket.rs
+++ b/crates/mimosa-transport/src/socket.rs
@@ -1,5 +1,6 @@
 //! Socket options of TCP connections.
 
+use std::io;
 use std::time::Duration;
 
 use log::debug;
@@ -7,9 +8,10 @@
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 
-/// Time after which a connection with unacknowledged data is closed. A peer that lost power or is
-/// behind a partition never replies, and the kernel's default is many minutes.
-const USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after which a connection to a peer that reads all the time is closed if data for it stays
+/// unacknowledged. A peer that lost power or is behind a partition never replies, and the kernel's default
+/// is many minutes.
+pub const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 /// Idle time after which the kernel sends keep-alive probes.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
 /// Time between two keep-alive probes.
@@ -18,27 +20,36 @@
 const KEEPALIVE_PROBES: u32 = 2;
 
 /// Disables Nagle's algorithm, so that small writes are sent at once, and enables the detection of
-/// peers that vanished without closing the connection.
+/// peers that vanished without closing the connection. For peers that read what they are sent at once.
 ///
 /// An option that cannot be set is logged and otherwise ignored.
 pub fn configure(stream: &TcpStream) {
+    configure_for_slow_reader(stream);
+    limit_unacknowledged(stream, Some(UNACKNOWLEDGED_TIMEOUT));
+}
+
+/// The same for peers that may stop reading, such as clients: they are noticed as vanished only while nothing
+/// is on its way to them. The caller limits the time for which they may leave data unread.
+pub fn configure_for_slow_reader(stream: &TcpStream) {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
-    let options = [
-        ("TCP_NODELAY", socket.set_tcp_nodelay(true)),
-        (
-            "TCP_USER_TIMEOUT",
-            socket.set_tcp_user_timeout(Some(USER_TIMEOUT)),
-        ),
-        ("SO_KEEPALIVE", socket.set_tcp_keepalive(&keepalive)),
-    ];
-    for (name, result) in options {
-        if let Err(e) = result {
-            debug!("cannot set {name}: {e}");
-        }
+    log_failure("TCP_NODELAY", socket.set_tcp_nodelay(true));
+    log_failure("SO_KEEPALIVE", socket.set_tcp_keepalive(&keepalive));
+}
+
+/// Closes the connection if data stays unacknowledged for so long; `None` removes the limit. Linux also counts
+/// the time for which a live peer acknowledges each probe without taking data, as it reads nothing.
+pub fn limit_unacknowledged(stream: &TcpStream, limit: Option<Duration>) {
+    let result = SockRef::from(stream).set_tcp_user_timeout(limit);
+    log_failure("TCP_USER_TIMEOUT", result);
+}
+
+fn log_failure(option: &str, result: io::Result<()>) {
+    if let Err(e) = result {
+        debug!("cannot set {option}: {e}");
     }
 }
 
