Send the rest of a stream soon after its reader paused

After a pause of 4.5 s nothing arrived for over 3 s more, and clients gave up. A receiver out of memory drops a segment and closes its window; the kernel repeats the segment at an interval that doubles during the pause, whatever window the reader announces later. Sockets of streams now use linear timeouts for thin streams, and Reno, under which the kernel applies them (it does not under BBR).

--- a/crates/mimosa-entry/src/connection.rs
+++ b/crates/mimosa-entry/src/connection.rs
@@ -20,6 +20,8 @@
 
 use axum::body::Body;
 use axum::http::Extensions;
+use axum::http::HeaderMap;
+use axum::http::header::CONTENT_TYPE;
 use bytes::Bytes;
 use hyper::Version;
 use hyper::body::Frame;
@@ -37,6 +39,7 @@
 use mimosa_transport::break_off::ResettableStream;
 use mimosa_transport::reserved_buffer::ReservedBuffer;
 use mimosa_transport::reserved_buffer::WhenFull;
+use mimosa_transport::socket;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -74,6 +77,8 @@
     has_reader: AtomicBool,
     /// Whether the account had no room for the window.
     is_refused: AtomicBool,
+    /// Whether the socket is to be configured for a stream.
+    sends_stream: AtomicBool,
     reset: ResetFlag,
 }
 
@@ -100,6 +105,7 @@
             closing: EvictionSignal::default(),
             has_reader: AtomicBool::new(false),
             is_refused: AtomicBool::new(false),
+            sends_stream: AtomicBool::new(false),
             reset: ResetFlag::default(),
         })
     }
@@ -144,9 +150,18 @@
         self.has_reader.store(true, Ordering::Relaxed);
     }
 
+    /// Configures the socket for a response that arrives as a stream of events, if it does.
+    pub(crate) fn expect(&self, headers: &HeaderMap) {
+        let content_type = headers.get(CONTENT_TYPE);
+        if content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream")) {
+            self.sends_stream.store(true, Ordering::Relaxed);
+        }
+    }
+
     /// Wraps the stream of the connection.
     pub(crate) fn track(self: &Arc<Self>, stream: TcpStream) -> TrackedStream {
         TrackedStream {
+            is_for_stream: false,
             stream: ResettableStream::new(stream, self.reset.clone()),
             connection: Arc::clone(self),
         }
@@ -291,6 +306,17 @@
 pub(crate) struct TrackedStream {
     stream: ResettableStream,
     connection: Arc<Connection>,
+    /// Whether the socket is configured for a stream.
+    is_for_stream: bool,
+}
+
+impl TrackedStream {
+    fn configure(&mut self) {
+        if !self.is_for_stream && self.connection.sends_stream.load(Ordering::Relaxed) {
+            self.is_for_stream = true;
+            socket::configure_for_stream(self.stream.get_ref());
+        }
+    }
 }
 
 impl AsyncRead for TrackedStream {
@@ -314,6 +340,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.configure();
         let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.connection.on_write(&polled);
         polled
@@ -336,6 +363,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.configure();
         let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.connection.on_write(&polled);
         polled
--- a/crates/mimosa-entry/src/server.rs
+++ b/crates/mimosa-entry/src/server.rs
@@ -329,7 +329,10 @@
         let tracked = Arc::clone(&tracked);
         async move {
             let response = response.await;
-            response.map(|response| response.map(|body| tracked.track_body(version, body)))
+            response.map(|response| {
+                tracked.expect(response.headers());
+                response.map(|body| tracked.track_body(version, body))
+            })
         }
     });
     let connection = http1::Builder::new()
--- a/crates/mimosa-gateway/src/client_connection.rs
+++ b/crates/mimosa-gateway/src/client_connection.rs
@@ -9,6 +9,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::task::Context;
@@ -60,6 +61,8 @@
     /// Receive buffer that the socket is to get; 0 if none.
     receive_buffer: AtomicUsize,
     large_receive_buffer: Option<usize>,
+    /// Whether the socket is to be configured for a stream.
+    sends_stream: AtomicBool,
 }
 
 /// What a connection without a complete request waits for. Connections that wait for the first are
@@ -88,6 +91,7 @@
             window: AnswerWindow::new(Arc::clone(shared), closing.clone()),
             closing,
             receive_buffer: AtomicUsize::new(0),
+            sends_stream: AtomicBool::new(false),
             large_receive_buffer: shared.memory.large_receive_buffer(),
             phase: Mutex::new(Phase::Idle(Instant::now())),
             changed: Notify::new(),
@@ -132,9 +136,15 @@
         }
     }
 
+    /// Configures the socket for a response that arrives as a stream of small parts.
+    pub(crate) fn expect_stream(&self) {
+        self.sends_stream.store(true, Ordering::Relaxed);
+    }
+
     /// Wraps the stream of the connection, which reports received bytes here.
     pub(crate) fn track(self: &Arc<Self>, stream: TcpStream) -> TrackedStream {
         TrackedStream {
+            is_for_stream: false,
             stream: ResettableStream::new(stream, self.reset.clone()),
             tracker: Arc::clone(self),
         }
@@ -232,6 +242,17 @@
 pub(crate) struct TrackedStream {
     stream: ResettableStream,
     tracker: Arc<ActivityTracker>,
+    /// Whether the socket is configured for a stream.
+    is_for_stream: bool,
+}
+
+impl TrackedStream {
+    fn configure(&mut self) {
+        if !self.is_for_stream && self.tracker.sends_stream.load(Ordering::Relaxed) {
+            self.is_for_stream = true;
+            socket::configure_for_stream(self.stream.get_ref());
+        }
+    }
 }
 
 impl TrackedStream {
@@ -269,6 +290,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.configure();
         let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.record_write(&polled);
         polled
@@ -291,6 +313,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.configure();
         let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.record_write(&polled);
         polled
--- a/crates/mimosa-gateway/src/serve.rs
+++ b/crates/mimosa-gateway/src/serve.rs
@@ -140,6 +140,7 @@
     };
     shared.count_request(shared.now(), &identified.service);
     if is_model {
+        connection.expect_stream();
         model::serve(shared, identified, &client_request).await
     } else {
         // A rejected request is not charged to the quota.
--- a/crates/mimosa-transport/src/socket.rs
+++ b/crates/mimosa-transport/src/socket.rs
@@ -40,6 +40,18 @@
     log_failure("SO_KEEPALIVE", socket.set_tcp_keepalive(&keepalive));
 }
 
+/// Makes the kernel send what a slow reader did not take again at a constant interval, while little is on its
+/// way. By default the interval doubles with each attempt, so that a reader that was out of memory gets the
+/// rest of its stream only about as long after its pause as that lasted.
+///
+/// The kernel does so only under congestion control with a threshold of slow start, which BBR lacks.
+pub fn configure_for_stream(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let thin = socket.set_tcp_thin_linear_timeouts(true);
+    log_failure("TCP_THIN_LINEAR_TIMEOUTS", thin);
+    log_failure("TCP_CONGESTION", socket.set_tcp_congestion(b"reno"));
+}
+
 /// Closes the connection if data stays unacknowledged for so long; `None` removes the limit. Linux also counts
 /// the time for which a live peer acknowledges each probe without taking data, as it reads nothing.
 pub fn limit_unacknowledged(stream: &TcpStream, limit: Option<Duration>) {
