Count a connection as idle only once its response is written

A client that paused for longer than the idle timeout lost the end of its answer, and at the bound of connections it was closed as an idle one: the phase changed when the gateway had taken the whole answer, with up to some 90 KB of it still unwritten. The phase Sending lasts until all is written, and ends the connection after 40 s without a byte taken.

--- a/crates/mimosa-gateway/src/client_connection.rs
+++ b/crates/mimosa-gateway/src/client_connection.rs
@@ -1,7 +1,7 @@
-//! Idle and head timeouts of client connections.
+//! Timeouts of client connections: idle, while a head arrives, and while a response is not read.
 //!
-//! hyper has a single timeout for both. Here, the head timeout starts with the first byte of a
-//! head.
+//! hyper has a single timeout for the first two. Here, the head timeout starts with the first byte of a
+//! head, and the idle timeout once a response is written.
 
 use std::io;
 use std::pin::Pin;
@@ -14,6 +14,7 @@
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -39,6 +40,10 @@
 use crate::response::BodyError;
 use crate::shared::Shared;
 
+/// Time without a byte written after which the connection of a complete response is closed. Longer than the
+/// memory account waits for a slow reader, so that it only ends connections that the account does not know.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(40);
+
 /// Phase of a client connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -48,11 +53,15 @@
     Head(Instant),
     /// Handling a request.
     Busy,
+    /// The response is complete, but not all of it is written. Its client last took bytes at this time.
+    Sending(Instant),
 }
 
 /// Tracks the phase of a client connection, which determines the timeout that applies.
 pub(crate) struct ActivityTracker {
     phase: Mutex<Phase>,
+    /// Whether the phase is [`Phase::Sending`], so that the lock is taken for writes only then.
+    is_sending: AtomicBool,
     changed: Notify,
     reset: ResetFlag,
     /// Closes the connection to free its memory or its descriptor.
@@ -82,6 +91,8 @@
     Idle,
     /// A request head was not complete within the head timeout.
     Head,
+    /// The client took nothing of a complete response within [`UNREAD_TIMEOUT`].
+    Unread,
 }
 
 impl ActivityTracker {
@@ -94,6 +105,7 @@
             sends_stream: AtomicBool::new(false),
             large_receive_buffer: shared.memory.large_receive_buffer(),
             phase: Mutex::new(Phase::Idle(Instant::now())),
+            is_sending: AtomicBool::new(false),
             changed: Notify::new(),
             reset: ResetFlag::default(),
         })
@@ -101,6 +113,7 @@
 
     /// Marks the connection as busy; called when a request head is complete.
     pub(crate) fn set_busy(&self) {
+        self.is_sending.store(false, Ordering::Relaxed);
         self.set(Phase::Busy);
     }
 
@@ -120,12 +133,12 @@
     }
 
     /// Whether the connection is idle or receives a head, and since when; ordered by which is closed
-    /// first. `None` while it handles a request.
+    /// first. `None` while it handles a request or sends its response.
     pub(crate) fn waiting_since(&self) -> Option<(WaitingFor, Instant)> {
         match *self.phase() {
             Phase::Idle(since) => Some((WaitingFor::Request, since)),
             Phase::Head(since) => Some((WaitingFor::RestOfHead, since)),
-            Phase::Busy => None,
+            Phase::Busy | Phase::Sending(_) => None,
         }
     }
 
@@ -150,8 +163,8 @@
         }
     }
 
-    /// Marks the connection as idle once the response body was sent completely or dropped. `version`
-    /// is that of the request.
+    /// Marks the connection as idle once the response body is written completely. `version` is that of the
+    /// request.
     pub(crate) fn idle_after(self: &Arc<Self>, version: Version, body: Body) -> Body {
         let body = TrackedBody {
             body: ResetOnError::new(version, body, self.reset.clone()),
@@ -160,7 +173,7 @@
         body.boxed_unsync()
     }
 
-    /// Waits until the idle timeout or the head timeout expires.
+    /// Waits until the timeout of the phase expires.
     pub(crate) async fn expired(&self, limits: ClientLimits) -> ExpiredTimeout {
         loop {
             let changed = self.changed.notified();
@@ -168,6 +181,7 @@
             let (deadline, expired) = match phase {
                 Phase::Idle(since) => (since + limits.idle_timeout, ExpiredTimeout::Idle),
                 Phase::Head(since) => (since + limits.head_timeout, ExpiredTimeout::Head),
+                Phase::Sending(since) => (since + UNREAD_TIMEOUT, ExpiredTimeout::Unread),
                 Phase::Busy => {
                     changed.await;
                     continue;
@@ -187,6 +201,38 @@
         }
     }
 
+    /// Records that the response body is complete. Its rest is written afterwards, or the write blocks.
+    fn on_response_end(&self) {
+        *self.phase() = Phase::Sending(Instant::now());
+        self.is_sending.store(true, Ordering::Relaxed);
+    }
+
+    fn on_write(&self, polled: &Poll<io::Result<usize>>) {
+        match polled {
+            Poll::Ready(Ok(bytes)) => {
+                self.window.record_written(*bytes);
+                if self.is_sending.load(Ordering::Relaxed) {
+                    *self.phase() = Phase::Sending(Instant::now());
+                }
+            }
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => {
+                self.window.record_blocked();
+                if self.is_sending.load(Ordering::Relaxed) {
+                    // Starts the timeout.
+                    self.changed.notify_one();
+                }
+            }
+        }
+    }
+
+    fn on_flushed(&self) {
+        self.window.record_flushed();
+        if self.is_sending.swap(false, Ordering::Relaxed) {
+            self.set(Phase::Idle(Instant::now()));
+        }
+    }
+
     fn set(&self, phase: Phase) {
         *self.phase() = phase;
         self.changed.notify_one();
@@ -197,7 +243,7 @@
     }
 }
 
-/// Response body that marks its connection as idle when dropped.
+/// Response body that tells its connection when it is complete or dropped.
 struct TrackedBody {
     body: ResetOnError<Body>,
     tracker: Arc<ActivityTracker>,
@@ -234,11 +280,11 @@
 
 impl Drop for TrackedBody {
     fn drop(&mut self) {
-        self.tracker.set(Phase::Idle(Instant::now()));
+        self.tracker.on_response_end();
     }
 }
 
-/// Socket that reports received bytes to the connection's activity tracker.
+/// Socket that reports to the connection's activity tracker what it receives and sends.
 pub(crate) struct TrackedStream {
     stream: ResettableStream,
     tracker: Arc<ActivityTracker>,
@@ -255,16 +301,6 @@
     }
 }
 
-impl TrackedStream {
-    fn record_write(&self, polled: &Poll<io::Result<usize>>) {
-        match polled {
-            Poll::Ready(Ok(bytes)) => self.tracker.window.record_written(*bytes),
-            Poll::Ready(Err(_)) => {}
-            Poll::Pending => self.tracker.window.record_blocked(),
-        }
-    }
-}
-
 impl AsyncRead for TrackedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -292,14 +328,14 @@
     ) -> Poll<io::Result<usize>> {
         self.configure();
         let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.record_write(&polled);
+        self.tracker.on_write(&polled);
         polled
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let polled = Pin::new(&mut self.stream).poll_flush(cx);
         if polled.is_ready() {
-            self.tracker.window.record_flushed();
+            self.tracker.on_flushed();
         }
         polled
     }
@@ -315,7 +351,7 @@
     ) -> Poll<io::Result<usize>> {
         self.configure();
         let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.record_write(&polled);
+        self.tracker.on_write(&polled);
         polled
     }
 
