Let endpoints pause while they read a long request

A long request to an endpoint that lives but reads nothing for 3 s was reset, and its client told that nobody knows whether it ran: TCP_USER_TIMEOUT also counts a closed window.

--- a/crates/mimosa-gateway/src/connection.rs
+++ b/crates/mimosa-gateway/src/connection.rs
@@ -16,6 +16,7 @@
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
@@ -29,6 +30,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::endpoint_stream::EndpointStream;
+use crate::endpoint_stream::ReadsSlowly;
 use crate::memory::GatewayMemory;
 
 /// Connect timeout; covers several round trips within a region. Waiting for the retransmission of a
@@ -100,6 +103,7 @@
 /// A connection to an endpoint. Dropping it closes the socket, which cancels the request there.
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    reads_slowly: ReadsSlowly,
     task: JoinHandle<()>,
     /// Whether no request was sent on it yet.
     is_new: bool,
@@ -238,6 +242,8 @@
         if let Some(bytes) = pool.sockets.receive_buffer {
             socket::bound_receive_buffer(&stream, bytes);
         }
+        let reads_slowly = ReadsSlowly::default();
+        let stream = EndpointStream::new(stream, reads_slowly.clone());
         let (sender, connection) = http1::Builder::new()
             .preserve_header_case(false)
             .max_buf_size(pool.sockets.read_buffer)
@@ -252,6 +258,7 @@
         });
         Ok(Self {
             sender,
+            reads_slowly,
             task,
             is_new: true,
             idle_since: Timestamp::ZERO,
@@ -265,6 +272,9 @@
         request: Request<Full<Bytes>>,
     ) -> hyper::Result<Response<Incoming>> {
         self.is_new = false;
+        let body = request.body().size_hint().exact().unwrap_or_default();
+        self.reads_slowly
+            .set_body(usize::try_from(body).unwrap_or(usize::MAX));
         let response = self.sender.send_request(request).await?;
         if let Some(time) = keep_alive_timeout(response.headers()) {
             self.idle_timeout = time * KEEP_ALIVE_TENTHS / 10;
--- a/crates/mimosa-gateway/src/lib.rs
+++ b/crates/mimosa-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod control_link;
 mod directory;
 mod dispatch;
+mod endpoint_stream;
 mod head;
 mod local_quota;
 mod local_share;
