Probe the clients of entries

Entries set only TCP_NODELAY on connections of clients, so that the work for a client that vanished went on to its end. They now use the keep-alive probes of gateways, without a limit for clients that pause.

connections_of_clients_are_probed finds no keep-alive timer before (/proc/net/tcp); the test of a client that pauses passed before and stays as proof.

--- a/crates/mimosa-entry/src/server.rs
+++ b/crates/mimosa-entry/src/server.rs
@@ -307,9 +307,7 @@
     graceful: &GracefulShutdown,
 ) -> impl Future<Output = ()> + use<> {
     let limits = &shared.settings.limits;
-    if let Err(e) = stream.set_nodelay(true) {
-        log::debug!("cannot set TCP_NODELAY on the connection from a caller: {e}");
-    }
+    socket::configure_for_slow_reader(&stream);
     if let Some(bytes) = shared.memory.receive_buffer() {
         socket::bound_receive_buffer(&stream, bytes);
     }
--- a/crates/mimosa-entry/tests/callers/main.rs
+++ b/crates/mimosa-entry/tests/callers/main.rs
@@ -14,4 +14,5 @@
 mod refusals;
 mod services;
 mod shutdown;
+mod slow_readers;
 mod truncation;
