Submit queued requests again when their leader has forgotten them

Requests in the queue of a leader that stepped down and was elected again got no answer: gateways compared the name of the leader, not its term, nothing told them that the leader had dropped its queue, and a queued request waited without a limit. A leadership is now an instance and a term; a leader returns active requests that it does not know; a leader that resigned without a successor within 1 s loses its queue to the gateway; and a request without a decision is refused as not run when its time is over.

--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -352,7 +352,12 @@
                 let report = AbsenceReport { absence, used };
                 inner.quotas.charge_absence(now, led_for, &report);
             }
-            GatewayMessage::ReportActive { numbers } => inner.reconcile(now, gateway, &numbers),
+            GatewayMessage::ReportActive { numbers } => {
+                inner.reconcile(now, gateway, &numbers);
+                if inner.leads {
+                    inner.return_unknown(gateway, &numbers);
+                }
+            }
             GatewayMessage::ReportRunning { service, held } => {
                 inner.requests.insert(&held.request.id, service.clone());
                 inner.handle(now, &service, Event::Adopt(held));
@@ -470,9 +475,16 @@
             .set_replica(status.term, status.committed, leads);
         let mut inner = self.lock();
         self.metrics.set_gateways(inner.gateways.len());
-        if leads != inner.leads {
-            info!("scheduler={}", if leads { "started" } else { "stopped" });
+        // Another instance may have led between two terms of this one.
+        let is_new_term = leads && inner.term != status.term;
+        if leads != inner.leads || is_new_term {
+            info!(
+                "scheduler={} term={}",
+                if leads { "started" } else { "stopped" },
+                status.term
+            );
             inner.leads = leads;
+            inner.term = status.term;
             inner.lead_since = now;
             inner.fleets.clear();
             inner.requests.clear();
--- a/crates/mimosa-control/src/routing/dispatch/inner.rs
+++ b/crates/mimosa-control/src/routing/dispatch/inner.rs
@@ -64,6 +64,8 @@
     pub(super) metrics: Metrics,
     pub(super) features: Features,
     pub(super) leads: bool,
+    /// Term of the latest change of leadership.
+    pub(super) term: u64,
     pub(super) lead_since: Timestamp,
     /// When the state of the schedulers was last logged.
     pub(super) last_summary_at: Timestamp,
@@ -352,6 +354,15 @@
         }
     }
 
+    /// Tells a gateway which of its active requests this leader does not know, so that those that wait are
+    /// submitted again. The gateway ignores it for requests that run, or were decided in the meantime.
+    pub(super) fn return_unknown(&self, gateway: &InstanceId, numbers: &[u64]) {
+        for number in self.requests.unknown_of(gateway, numbers) {
+            info!("gateway={gateway} number={number} state=unknown");
+            self.send(gateway, ControlMessage::NotLeader { number });
+        }
+    }
+
     pub(super) fn remove_lost_gateways(&mut self, now: Timestamp) {
         let lost = self.disconnected.iter().filter(|(_, at)| now >= **at);
         let lost: Vec<InstanceId> = lost.map(|(gateway, _)| gateway.clone()).collect();
--- a/crates/mimosa-control/src/routing/dispatch/request_index.rs
+++ b/crates/mimosa-control/src/routing/dispatch/request_index.rs
@@ -39,6 +39,18 @@
         self.0.clear();
     }
 
+    /// Those of the numbers that are no requests of a gateway.
+    pub(super) fn unknown_of(
+        &self,
+        gateway: &InstanceId,
+        numbers: &[u64],
+    ) -> impl Iterator<Item = u64> {
+        let services = self.0.get(gateway);
+        let is_unknown =
+            move |number: &u64| services.is_none_or(|services| !services.contains_key(number));
+        numbers.iter().copied().filter(is_unknown)
+    }
+
     /// The requests of a gateway whose numbers are not in `excluded`.
     pub(super) fn of_gateway_except(
         &self,
--- a/crates/mimosa-control/tests/dispatch.rs
+++ b/crates/mimosa-control/tests/dispatch.rs
@@ -494,6 +494,28 @@
     expect_that!(reconnected.next_answer().await, eq((true, 2)));
 }
 
+/// Guards against requests that wait for a leader that does not know them, as after a change of leadership that
+/// the gateway missed: the leader tells the gateway, which submits them again.
+#[googletest::test]
+#[tokio::test]
+async fn a_waiting_request_that_the_leader_does_not_know_is_returned_to_the_gateway() {
+    let (control, _folder) = start().await;
+    let mut gateway = Gateway::connect(&control, "10.0.0.1").await;
+    gateway.request_placement(1).await;
+    while gateway.next_answer().await != (true, 1) {}
+    let numbers = vec![1, 7];
+    gateway.send(GatewayMessage::ReportActive { numbers }).await;
+    let returned = async {
+        loop {
+            if let ControlMessage::NotLeader { number } = gateway.next_message().await {
+                return number;
+            }
+        }
+    };
+    let returned = timeout(CLOSE_TIMEOUT, returned).await;
+    expect_that!(returned, ok(eq(&7)));
+}
+
 /// Guards against an endpoint that stays occupied by requests of a gateway that never reconnects.
 #[googletest::test]
 #[tokio::test]
--- a/crates/mimosa-gateway/src/control_link.rs
+++ b/crates/mimosa-gateway/src/control_link.rs
@@ -159,8 +159,14 @@
                 shared.local_quota.configure(shared.now(), &table, gateways);
             }
             let leader = directory.leader();
-            shared.placement.set_leader(shared.now(), leader.as_ref());
-            shared.placement.report_active(shared.now(), instance);
+            let leadership = directory.leadership();
+            shared.placement.set_leader(shared.now(), leadership);
+            if state.leader.as_ref() == Some(instance) {
+                shared.placement.report_active(shared.now(), instance);
+            } else {
+                let now = shared.now();
+                shared.placement.on_resigned(now, instance, state.term);
+            }
             if leader.as_ref() == Some(instance) {
                 if shared.suspects.is_new_term(state.term) {
                     report_suspects(shared);
--- a/crates/mimosa-gateway/src/directory.rs
+++ b/crates/mimosa-gateway/src/directory.rs
@@ -90,12 +90,22 @@
     one.started_at_ms == other.started_at_ms && one.address == other.address
 }
 
+/// A control instance in a term in which it leads. In another term it knows nothing of requests that it
+/// queued in this one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Leadership {
+    pub(crate) instance: InstanceId,
+    pub(crate) term: u64,
+}
+
 /// State that orders updates from different control instances.
 #[derive(Default)]
 struct SyncState {
     routing_index: u64,
     term: u64,
     leader: Option<InstanceId>,
+    /// Term in which the leader was elected.
+    leader_term: u64,
     /// When the leader last sent its state; `None` before the first one.
     leader_heard_at: Option<Timestamp>,
     tracker: ListTracker,
@@ -253,6 +263,16 @@
         self.sync_state().leader.clone()
     }
 
+    /// The leadership of the highest known term; `None` before one is known.
+    pub(crate) fn leadership(&self) -> Option<Leadership> {
+        let sync_state = self.sync_state();
+        let instance = sync_state.leader.clone()?;
+        Some(Leadership {
+            instance,
+            term: sync_state.leader_term,
+        })
+    }
+
     /// Whether routes and endpoints are known.
     pub(crate) fn is_complete(&self) -> bool {
         self.table.load().is_some() && self.sync_state().tracker.is_complete()
@@ -297,6 +317,9 @@
                 );
                 sync_state.leader.clone_from(&state.leader);
             }
+            if state.leader.is_some() {
+                sync_state.leader_term = state.term;
+            }
             if state.leader.as_ref() == Some(instance) {
                 sync_state.leader_heard_at = Some(now);
             }
--- a/crates/mimosa-gateway/src/dispatch.rs
+++ b/crates/mimosa-gateway/src/dispatch.rs
@@ -26,6 +26,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::directory::Leadership;
 use crate::local_share::LocalReservation;
 
 /// Time for the leader to place or at least queue a request; covers several round trips within a
@@ -34,6 +35,11 @@
 /// Time for which requests are placed locally after the leader did not respond.
 const LEADER_BACKOFF: Duration = Duration::from_millis(500);
 
+/// Time for which queued requests wait for a successor of a leader that stopped to lead; covers an election.
+const SUCCESSION_TIME: Duration = Duration::from_secs(1);
+/// Retry delay for clients whose request got no decision before its time was over.
+const NO_DECISION_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Client side of the placement protocol: pending requests and running placements.
 #[derive(Default)]
 pub(crate) struct PlacementClient(Mutex<Inner>);
@@ -41,7 +47,9 @@
 #[derive(Default)]
 struct Inner {
     outboxes: HashMap<InstanceId, Outbox<GatewayMessage>>,
-    leader: Option<InstanceId>,
+    leader: Option<Leadership>,
+    /// Since when the leader is known to have stopped to lead, while there is no successor.
+    resigned_at: Option<Timestamp>,
     /// End of the backoff after the leader did not respond.
     backoff_until: Timestamp,
     last_number: u64,
@@ -68,9 +76,9 @@
 enum Decision {
     Placed(Placement),
     Rejected(PlacementRefusal, Duration),
-    /// The leadership moved to another instance.
+    /// The leader does not have the request, or no longer leads.
     LeaderChanged {
-        /// Whether the previous leader had queued the request.
+        /// Whether a leader had queued the request.
         was_queued: bool,
     },
 }
@@ -109,23 +117,47 @@
     pub(crate) fn on_disconnected(&self, instance: &InstanceId) {
         let mut inner = self.lock();
         inner.outboxes.remove(instance);
-        if inner.leader.as_ref() == Some(instance) {
+        if inner.is_leader(instance) {
             inner.redirect_pending();
         }
     }
 
-    /// Sets the current leader. Reports all runs to a new leader.
-    pub(crate) fn set_leader(&self, now: Timestamp, leader: Option<&InstanceId>) {
+    /// Sets the current leader. Reports all runs to a new leader, and in a new term of the same one, as it
+    /// starts without any.
+    pub(crate) fn set_leader(&self, now: Timestamp, leader: Option<Leadership>) {
         let mut inner = self.lock();
-        if inner.leader.as_ref() == leader {
+        if inner.leader == leader {
             return;
         }
-        inner.leader = leader.cloned();
+        inner.leader = leader;
+        inner.resigned_at = None;
         inner.backoff_until = Timestamp::ZERO;
         inner.redirect_pending();
         inner.report_runs(now, |_| true);
     }
 
+    /// Handles a state of an instance that does not lead in a term. If it was the leader, it has dropped its
+    /// queue: the requests are placed without it unless there is a successor soon.
+    pub(crate) fn on_resigned(&self, now: Timestamp, instance: &InstanceId, term: u64) {
+        let mut inner = self.lock();
+        let was_leader = inner
+            .leader
+            .as_ref()
+            .is_some_and(|leader| leader.instance == *instance && leader.term <= term);
+        if !was_leader {
+            return;
+        }
+        let since = *inner.resigned_at.get_or_insert(now);
+        if now.since(since) >= SUCCESSION_TIME && !inner.pending.is_empty() {
+            info!(
+                "dependency=scheduler instance={instance} state=resigned pending={}",
+                inner.pending.len()
+            );
+            inner.backoff_until = now + LEADER_BACKOFF;
+            inner.redirect_pending();
+        }
+    }
+
     /// Sends a message to the leader. A message that cannot be sent is dropped.
     pub(crate) fn send_to_leader(&self, message: GatewayMessage) {
         if !self.lock().send(message) {
@@ -146,7 +178,7 @@
     /// Reports all runs if the instance is the leader; called when its connection is established.
     pub(crate) fn report_running(&self, now: Timestamp, instance: &InstanceId) {
         let mut inner = self.lock();
-        if inner.leader.as_ref() == Some(instance) {
+        if inner.is_leader(instance) {
             inner.report_runs(now, |_| true);
         }
     }
@@ -154,7 +186,8 @@
     /// Replies to a heartbeat of the leader with the requests that wait or run.
     pub(crate) fn report_active(&self, now: Timestamp, instance: &InstanceId) {
         let mut inner = self.lock();
-        if inner.leader.as_ref() == Some(instance) {
+        if inner.is_leader(instance) {
+            inner.resigned_at = None;
             inner.report_runs(now, |run| !run.is_reported);
             let numbers = inner.pending.keys().chain(inner.runs.keys());
             let numbers = numbers.copied().collect();
@@ -166,7 +199,7 @@
     pub(crate) fn has_leader(&self) -> bool {
         let inner = self.lock();
         let leader = inner.leader.as_ref();
-        leader.is_some_and(|leader| inner.outboxes.contains_key(leader))
+        leader.is_some_and(|leader| inner.outboxes.contains_key(&leader.instance))
     }
 
     pub(crate) fn on_queued(&self, number: u64) {
@@ -188,8 +221,14 @@
         self.decide(number, Decision::Rejected(reason, retry_after));
     }
 
+    /// Handles that the receiver of a request does not lead, or that the leader does not know a request that
+    /// waits for it.
     pub(crate) fn on_not_leader(&self, number: u64) {
-        let was_queued = false;
+        let was_queued = {
+            let inner = self.lock();
+            let request = inner.pending.get(&number);
+            request.is_some_and(|request| request.queued.is_none())
+        };
         self.decide(number, Decision::LeaderChanged { was_queued });
     }
 
@@ -215,18 +254,29 @@
                 client: self,
                 number,
             };
-            match wait_for_decision(queued, decision).await {
-                Some(Decision::Placed(placement)) => {
+            let time_limit = request.time_to_timeout + LEADER_TIMEOUT;
+            match wait_for_decision(queued, decision, time_limit).await {
+                WaitEnd::Decided(Decision::Placed(placement)) => {
                     std::mem::forget(guard);
                     return PlacementOutcome::Placed(
                         self.start_run(number, service, request, placement),
                     );
                 }
-                Some(Decision::Rejected(reason, retry_after)) => {
+                WaitEnd::Decided(Decision::Rejected(reason, retry_after)) => {
                     return PlacementOutcome::Rejected(reason, retry_after);
                 }
-                Some(Decision::LeaderChanged { was_queued }) => has_waited |= was_queued,
-                None => {
+                WaitEnd::Decided(Decision::LeaderChanged { was_queued }) => {
+                    has_waited |= was_queued;
+                }
+                WaitEnd::TimeOver => {
+                    info!(
+                        "dependency=scheduler state=undecided number={number} waited_ms={}",
+                        now().since(at).as_millis()
+                    );
+                    let reason = PlacementRefusal::TooLate;
+                    return PlacementOutcome::Rejected(reason, NO_DECISION_RETRY_AFTER);
+                }
+                WaitEnd::Silent => {
                     info!("dependency=scheduler state=silent");
                     self.lock().backoff_until = now() + LEADER_BACKOFF;
                     return PlacementOutcome::NoLeader { has_waited };
@@ -352,12 +402,21 @@
     }
 }
 
-/// Waits for the decision. Returns `None` if the leader neither queues nor decides the request
-/// within [`LEADER_TIMEOUT`].
+/// How the wait for a decision ended.
+enum WaitEnd {
+    Decided(Decision),
+    /// The leader neither queued nor decided the request within [`LEADER_TIMEOUT`].
+    Silent,
+    /// The leader queued the request, but did not decide it in time.
+    TimeOver,
+}
+
+/// Waits for the decision, once the request was queued for at most `time_limit`.
 async fn wait_for_decision(
     queued: oneshot::Receiver<()>,
     mut decision: oneshot::Receiver<Decision>,
-) -> Option<Decision> {
+    time_limit: Duration,
+) -> WaitEnd {
     let first = timeout(LEADER_TIMEOUT, async {
         tokio::select! {
             biased;
@@ -366,9 +425,14 @@
         }
     });
     match first.await {
-        Ok(Some(decision)) => Some(decision),
-        Ok(None) => decision.await.ok(),
-        Err(_) => None,
+        Ok(Some(decision)) => return WaitEnd::Decided(decision),
+        Ok(None) => {}
+        Err(_) => return WaitEnd::Silent,
+    }
+    match timeout(time_limit, decision).await {
+        Ok(Ok(decision)) => WaitEnd::Decided(decision),
+        Ok(Err(_)) => WaitEnd::Silent,
+        Err(_) => WaitEnd::TimeOver,
     }
 }
 
@@ -390,12 +454,17 @@
 }
 
 impl Inner {
+    fn is_leader(&self, instance: &InstanceId) -> bool {
+        let leader = self.leader.as_ref();
+        leader.is_some_and(|leader| leader.instance == *instance)
+    }
+
     /// Sends a message to the leader. Returns whether it was queued for sending.
     fn send(&self, message: GatewayMessage) -> bool {
         let outbox = self
             .leader
             .as_ref()
-            .and_then(|leader| self.outboxes.get(leader));
+            .and_then(|leader| self.outboxes.get(&leader.instance));
         let sent = outbox.map(|outbox| outbox.send(message));
         if sent == Some(SendOutcome::Full) {
             info!("dependency=scheduler message=dropped reason=\"the outbox is full\"");
--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -426,7 +426,8 @@
     let route = &request.route;
     let max_wait = first_event_timeout(route).min(request.deadline.since(request.arrived));
     let waited = now.since(request.waiting_since);
-    let max_wait_left = max_wait.saturating_sub(waited);
+    // A resumed stream waits anew, but not beyond the deadline.
+    let max_wait_left = max_wait.saturating_sub(waited).min(request.time_left(now));
     let kv_cache_left = attempts
         .kv_cache
         .as_ref()
--- a/crates/mimosa-route/src/message.rs
+++ b/crates/mimosa-route/src/message.rs
@@ -226,7 +226,8 @@
         /// The accounts whose demand exceeds their rate, and the part of their requests, in
         /// thousandths, that the gateway admits while no leader answers. Replaces the previous list.
         OverloadedAccounts(Vec<(AccountId, u16)>),
-        /// The receiver of [`GatewayMessage::RequestPlacement`] is not the leader.
+        /// The receiver of [`GatewayMessage::RequestPlacement`] is not the leader, or the leader does not
+        /// know an active request of the gateway.
         NotLeader {
             /// Request number, unique within one process lifetime of the gateway.
             number: u64,
