Refuse answers whose status is none at gateways

Gateways passed answers with the statuses 101, 600 and 999 on to clients. They now count as answers that are not the endpoint's own: the client gets 502. Numbers that cannot be parsed, such as 000, were refused before.

The new test found 101, 600 and 999 passed on at plain and decode endpoints before. The test of answers that are reset while the upload is still written (plain, prefill and decode; short and long; in one piece and chunked; before, during and after the upload) passed before and stays as proof.

--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -342,7 +342,10 @@
         step: &step,
         is_first,
     };
-    let class = dialect.classify(&call, response.status(), response.headers());
+    let class = match is_final_status(response.status()) {
+        true => dialect.classify(&call, response.status(), response.headers()),
+        false => ResponseClass::Unverified,
+    };
     // Another endpoint may have taken over the address.
     if class != ResponseClass::Unverified && response.status() != StatusCode::MISDIRECTED_REQUEST {
         let advice = dialect.advice(response.status(), response.headers());
@@ -446,6 +449,12 @@
     outgoing
 }
 
+/// Whether a status is one of a final response. No request asks for another protocol, and the numbers from 600 on
+/// mean nothing.
+fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Removes hop-by-hop headers, including those listed in `Connection`.
 pub(crate) fn remove_hop_by_hop(headers: &mut HeaderMap) {
     let connection_headers: Vec<HeaderName> = headers
