Choose another decode endpoint if the first stops to take work during the prefill

A decode reached an endpoint 4.8 s after the list had shown it as draining: endpoints were checked before the prefill only, but for rollouts. The decode endpoint is now looked up again after the prefill, and the request placed again with its KV cache if it drains, has left or was replaced, asked for a pause, or is in a data centre that was taken out.

--- a/crates/mimosa-gateway/src/directory.rs
+++ b/crates/mimosa-gateway/src/directory.rs
@@ -173,6 +173,11 @@
         Timestamp(self.paused_until_us.load(Ordering::Relaxed))
     }
 
+    /// Whether both entries mean the same process in the same role.
+    pub(crate) fn is_same_process(&self, other: &Self) -> bool {
+        is_same_lifetime(&self.listed, &other.listed) && self.listed.role == other.listed.role
+    }
+
     /// Whether the endpoint takes requests of this gateway, whatever its rate limit.
     pub(crate) fn accepts_requests(&self, now: Timestamp) -> bool {
         !self.is_leaving() && now >= self.paused_until()
--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -217,6 +217,15 @@
             }
         }
     }
+    if !still_takes(shared, shared.now(), &decode) {
+        info!(
+            "request={} step=decode outcome=endpoint_gone endpoint={}",
+            request.metadata.attempt_id, decode.listed.id
+        );
+        run.end(RunEnd::NoCapacity);
+        attempts.tried.push(decode);
+        return Err(CallFailure::NotSent);
+    }
     // A rollout may have withdrawn the version during the prefill.
     if !shared.rollouts.accepts_placement(&request.service, &decode) {
         run.end(RunEnd::NoCapacity);
@@ -294,6 +303,17 @@
     }
 }
 
+/// Whether an endpoint that was selected before a prefill still takes work. It may have begun to drain, left, or
+/// been taken out with its data centre since.
+fn still_takes(shared: &Shared, now: Timestamp, selected: &EndpointEntry) -> bool {
+    let endpoints = shared.directory.endpoints();
+    let current = endpoints.get(&selected.listed.id);
+    let is_listed = current
+        .is_some_and(|current| current.is_same_process(selected) && current.accepts_requests(now));
+    let data_centre = &selected.listed.data_centre;
+    is_listed && !shared.directory.is_out_of_service(data_centre)
+}
+
 async fn place_unless_quarantined(
     shared: &Arc<Shared>,
     request: &IdentifiedRequest,
