Recognise endpoints whose process was replaced at its address

Half an answer without a length reached clients as complete: the endpoint's process had been killed, but another one listened at its address, or a connection was counted as open whose end was not noticed, as its client read slowly. Connections that wait for their client no longer count as a sign of life, and a new connection is asked with a health check that names the endpoint, which another process refuses.

--- a/crates/mimosa-gateway/src/connection.rs
+++ b/crates/mimosa-gateway/src/connection.rs
@@ -7,6 +7,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::Weak;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -98,12 +100,24 @@
     sockets: Arc<EndpointSockets>,
     idle: Mutex<VecDeque<Connection>>,
     open_connections: Arc<AtomicU32>,
+    /// State of the connections, also of some that ended.
+    states: Mutex<Vec<Weak<ConnectionState>>>,
+}
+
+/// What the end of a connection, or that it has not ended, says about the process of the endpoint.
+#[derive(Default)]
+struct ConnectionState {
+    has_ended: AtomicBool,
+    /// Whether its response waits for a client that reads slowly. Nothing is read from the connection then, and
+    /// its end is not noticed.
+    is_held_up: AtomicBool,
 }
 
 /// A connection to an endpoint. Dropping it closes the socket, which cancels the request there.
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     reads_slowly: ReadsSlowly,
+    state: Arc<ConnectionState>,
     task: JoinHandle<()>,
     /// Whether no request was sent on it yet.
     is_new: bool,
@@ -115,15 +129,21 @@
 struct OpenConnectionGuard {
     of_endpoint: Arc<AtomicU32>,
     sockets: Arc<EndpointSockets>,
+    state: Arc<ConnectionState>,
 }
 
 impl OpenConnectionGuard {
     fn new(inner: &Inner) -> Self {
         inner.open_connections.fetch_add(1, Ordering::Relaxed);
         inner.sockets.open.fetch_add(1, Ordering::Relaxed);
+        let state = Arc::<ConnectionState>::default();
+        let mut states = inner.states();
+        states.retain(|state| state.strong_count() > 0);
+        states.push(Arc::downgrade(&state));
         Self {
             of_endpoint: Arc::clone(&inner.open_connections),
             sockets: Arc::clone(&inner.sockets),
+            state,
         }
     }
 }
@@ -146,6 +166,7 @@
             sockets,
             idle: Mutex::default(),
             open_connections: Arc::default(),
+            states: Mutex::default(),
         }))
     }
 
@@ -166,10 +187,13 @@
         Connection::open(&self.0).await
     }
 
-    /// Whether the endpoint's process has ended: no connection is open, and its address refuses a new
-    /// one. An endpoint at its connection limit may refuse as well, but keeps the others. A connection
-    /// that is opened to find out is kept for the next request.
-    pub(crate) async fn has_ended(&self, now: impl Fn() -> Timestamp) -> bool {
+    /// Whether the endpoint's process has ended: no connection shows that it lives, and its address refuses a new
+    /// one, or another process answers there, which `is_other` finds out on the new connection. An endpoint at its
+    /// connection limit may refuse as well, but keeps the others.
+    pub(crate) async fn has_ended<F>(&self, is_other: impl FnOnce(Connection) -> F) -> bool
+    where
+        F: Future<Output = bool>,
+    {
         // A process that is killed closes its sockets one after the other, the listener perhaps last.
         let listener_closed = sleep(CRASH_NOTICE_TIME);
         if !self.have_all_ended().await {
@@ -177,27 +201,33 @@
         }
         listener_closed.await;
         match Connection::open(&self.0).await {
-            Ok(connection) => {
-                self.put(now(), connection);
-                false
-            }
+            Ok(connection) => is_other(connection).await,
             Err(e) => e == PoolError::Refused,
         }
     }
 
-    /// Whether all connections end within [`CRASH_NOTICE_TIME`].
+    /// Whether all connections whose end would be noticed end within [`CRASH_NOTICE_TIME`].
     async fn have_all_ended(&self) -> bool {
         let all_ended = async {
-            while self.0.open_connections.load(Ordering::Relaxed) > 0 {
+            while self.shows_life() {
                 sleep(CRASH_POLL_INTERVAL).await;
             }
         };
         timeout(CRASH_NOTICE_TIME, all_ended).await.is_ok()
     }
 
+    fn shows_life(&self) -> bool {
+        let states = self.0.states();
+        let mut open = states.iter().filter_map(Weak::upgrade);
+        open.any(|state| {
+            !state.has_ended.load(Ordering::Relaxed) && !state.is_held_up.load(Ordering::Relaxed)
+        })
+    }
+
     /// Returns a connection to the pool after its response was read completely.
     pub(crate) fn put(&self, now: Timestamp, mut connection: Connection) {
         connection.idle_since = now;
+        connection.set_held_up(false);
         let mut idle = self.idle();
         if idle.len() < MAX_IDLE_CONNECTIONS && self.0.sockets.may_keep_idle() {
             idle.push_back(connection);
@@ -223,6 +253,12 @@
     }
 }
 
+impl Inner {
+    fn states(&self) -> MutexGuard<'_, Vec<Weak<ConnectionState>>> {
+        self.states.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 impl Connection {
     async fn open(pool: &Inner) -> Result<Self, PoolError> {
         let guard = OpenConnectionGuard::new(pool);
@@ -243,6 +279,7 @@
             socket::bound_receive_buffer(&stream, bytes);
         }
         let reads_slowly = ReadsSlowly::default();
+        let state = Arc::clone(&guard.state);
         let stream = EndpointStream::new(stream, reads_slowly.clone());
         let (sender, connection) = http1::Builder::new()
             .preserve_header_case(false)
@@ -259,6 +296,7 @@
         Ok(Self {
             sender,
             reads_slowly,
+            state,
             task,
             is_new: true,
             idle_since: Timestamp::ZERO,
@@ -282,6 +320,11 @@
         Ok(response)
     }
 
+    /// Records whether the response waits until its client has read what arrived of it.
+    pub(crate) fn set_held_up(&self, is_held_up: bool) {
+        self.state.is_held_up.store(is_held_up, Ordering::Relaxed);
+    }
+
     pub(crate) const fn is_new(&self) -> bool {
         self.is_new
     }
@@ -299,6 +342,7 @@
 
 impl Drop for OpenConnectionGuard {
     fn drop(&mut self) {
+        self.state.has_ended.store(true, Ordering::Relaxed);
         self.of_endpoint.fetch_sub(1, Ordering::Relaxed);
         self.sockets.open.fetch_sub(1, Ordering::Relaxed);
     }
--- a/crates/mimosa-gateway/src/lib.rs
+++ b/crates/mimosa-gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod serve;
 mod shared;
 mod speed;
+mod takeover;
 mod upstream;
 
 pub mod dialect;
--- a/crates/mimosa-gateway/src/part_quarantine.rs
+++ b/crates/mimosa-gateway/src/part_quarantine.rs
@@ -279,7 +279,11 @@
         let shared = Arc::clone(shared);
         let endpoint = Arc::clone(endpoint);
         tokio::spawn(async move {
-            if endpoint.pool.has_ended(|| shared.now()).await {
+            let keep = |connection| {
+                endpoint.pool.put(shared.now(), connection);
+                std::future::ready(false)
+            };
+            if endpoint.pool.has_ended(keep).await {
                 run.report_ended(&shared, &endpoint.listed, sent, lost_at);
             } else {
                 run.record_check(&shared, &endpoint.listed, sent, lost_at, false);
--- a/crates/mimosa-gateway/src/relay.rs
+++ b/crates/mimosa-gateway/src/relay.rs
@@ -37,6 +37,7 @@
 use crate::response::BodyError;
 use crate::rollout::VersionedCall;
 use crate::shared::Shared;
+use crate::takeover;
 use crate::upstream;
 use crate::upstream::CallFailure;
 use crate::upstream::UpstreamResponse;
@@ -129,6 +130,7 @@
         head.headers.remove(header::CONTENT_LENGTH);
     }
     let time_left = info.deadline.since(shared.now());
+    upstream_response.connection.set_held_up(true);
     let body = RelayBody {
         deadline_timer: Box::pin(sleep(time_left)),
         shared: Arc::clone(shared),
@@ -305,10 +307,12 @@
             return false;
         }
         let shared = Arc::clone(&self.shared);
-        let pool = self.endpoint.pool.clone();
-        self.crash_check = Some(Box::pin(
-            async move { pool.has_ended(|| shared.now()).await },
-        ));
+        let endpoint = Arc::clone(&self.endpoint);
+        self.crash_check = Some(Box::pin(async move {
+            let pool = endpoint.pool.clone();
+            let is_other = |connection| takeover::is_other_process(shared, endpoint, connection);
+            pool.has_ended(is_other).await
+        }));
         true
     }
 
@@ -435,6 +439,9 @@
             return self.poll_end(cx);
         }
         let mut polled = Pin::new(&mut self.body).poll_frame(cx);
+        if let Some(connection) = &self.connection {
+            connection.set_held_up(polled.is_ready());
+        }
         match &mut polled {
             Poll::Ready(None) => return self.poll_end(cx),
             Poll::Ready(Some(Err(_))) => self.end("cut"),
