--- a/crates/mimosa-gateway/src/dispatch.rs
+++ b/crates/mimosa-gateway/src/dispatch.rs
@@ -24,14 +24,17 @@
 use mimosa_transport::link::Outbox;
 use mimosa_transport::link::SendOutcome;
 use tokio::sync::oneshot;
-use tokio::time::timeout;
 
 use crate::directory::Leadership;
 use crate::local_share::LocalReservation;
 
-/// Time for the leader to place or at least queue a request; covers several round trips within a
-/// region.
-const LEADER_TIMEOUT: Duration = Duration::from_millis(150);
+mod decision;
+
+use self::decision::Decision;
+use self::decision::LEADER_TIMEOUT;
+use self::decision::WaitEnd;
+use self::decision::wait_for_decision;
+
 /// Time for which requests are placed locally after the leader did not respond.
 const LEADER_BACKOFF: Duration = Duration::from_millis(500);
 
@@ -73,16 +76,6 @@
     is_reported: bool,
 }
 
-enum Decision {
-    Placed(Placement),
-    Rejected(PlacementRefusal, Duration),
-    /// The leader does not have the request, or no longer leads.
-    LeaderChanged {
-        /// Whether a leader had queued the request.
-        was_queued: bool,
-    },
-}
-
 /// Outcome of a placement request.
 pub(crate) enum PlacementOutcome {
     /// The request may run.
@@ -402,40 +395,6 @@
     }
 }
 
-/// How the wait for a decision ended.
-enum WaitEnd {
-    Decided(Decision),
-    /// The leader neither queued nor decided the request within [`LEADER_TIMEOUT`].
-    Silent,
-    /// The leader queued the request, but did not decide it in time.
-    TimeOver,
-}
-
-/// Waits for the decision, once the request was queued for at most `time_limit`.
-async fn wait_for_decision(
-    queued: oneshot::Receiver<()>,
-    mut decision: oneshot::Receiver<Decision>,
-    time_limit: Duration,
-) -> WaitEnd {
-    let first = timeout(LEADER_TIMEOUT, async {
-        tokio::select! {
-            biased;
-            decision = &mut decision => decision.ok(),
-            _ = queued => None,
-        }
-    });
-    match first.await {
-        Ok(Some(decision)) => return WaitEnd::Decided(decision),
-        Ok(None) => {}
-        Err(_) => return WaitEnd::Silent,
-    }
-    match timeout(time_limit, decision).await {
-        Ok(Ok(decision)) => WaitEnd::Decided(decision),
-        Ok(Err(_)) => WaitEnd::Silent,
-        Err(_) => WaitEnd::TimeOver,
-    }
-}
-
 /// Removes a request from the leader's queue when it is dropped, as on a client disconnect.
 struct PendingGuard<'a> {
     client: &'a PlacementClient,
