Keep readers without a window while nobody needs their connection

A client whose response got no window in a full memory account was closed after a pause of 10 s, whether or not another one needed its connection: its progress had no grace. It now has that of other slow readers while there is room, and may still be evicted after 3 s to make room.

--- a/crates/mimosa-gateway/src/answer_window.rs
+++ b/crates/mimosa-gateway/src/answer_window.rs
@@ -131,7 +131,7 @@
         if reservation.try_grow_to(now, WINDOW_BYTES) != Decision::Granted {
             self.is_refused.store(true, Ordering::Relaxed);
             // A holder without bytes, so that the connection can be closed to admit another one.
-            reservation = self.holder(Progress::new(now));
+            reservation = self.holder(Progress::with_grace_while_room(now, READER_GRACE));
         }
         self.has_reservation.store(true, Ordering::Relaxed);
         self.state().reservation = Some(reservation);
--- a/crates/mimosa-memory/src/account.rs
+++ b/crates/mimosa-memory/src/account.rs
@@ -192,7 +192,8 @@
         let stalled: Vec<HolderId> = self
             .holders
             .iter()
-            .filter(|(_, each)| !each.is_evicted && each.info.progress.stalled_for(now) >= time)
+            .filter(|(_, each)| !each.is_evicted)
+            .filter(|(_, each)| each.info.progress.stalled_with_room_for(now) >= time)
             .map(|(id, _)| *id)
             .collect();
         self.usage.stalled += stalled.len() as u64;
--- a/crates/mimosa-memory/src/progress.rs
+++ b/crates/mimosa-memory/src/progress.rs
@@ -19,6 +19,8 @@
     bytes: AtomicU64,
     /// Time without progress that does not count as a stall.
     grace: Duration,
+    /// The same while there is room; at least `grace`.
+    grace_with_room: Duration,
 }
 
 impl Progress {
@@ -30,10 +32,19 @@
     /// Starts with progress at `now`. Only time without progress beyond `grace` counts as a stall, for
     /// progress that is observed late.
     pub const fn with_grace(now: Timestamp, grace: Duration) -> Self {
+        Self {
+            grace,
+            ..Self::with_grace_while_room(now, grace)
+        }
+    }
+
+    /// The same, but the grace holds only while nobody needs the room of the holder.
+    pub const fn with_grace_while_room(now: Timestamp, grace: Duration) -> Self {
         Self {
             last: AtomicU64::new(now.as_micros()),
             bytes: AtomicU64::new(0),
-            grace,
+            grace: Duration::ZERO,
+            grace_with_room: grace,
         }
     }
 
@@ -61,8 +72,16 @@
 
     /// Time without progress of the client; zero while the holder does not wait for it.
     pub fn stalled_for(&self, now: Timestamp) -> Duration {
+        self.idle_for(now).saturating_sub(self.grace)
+    }
+
+    /// The same where nobody needs the room of the holder.
+    pub fn stalled_with_room_for(&self, now: Timestamp) -> Duration {
+        self.idle_for(now).saturating_sub(self.grace_with_room)
+    }
+
+    fn idle_for(&self, now: Timestamp) -> Duration {
         // NOT_WAITING lies in the future.
-        let idle = now.since(Timestamp(self.last.load(Ordering::Relaxed)));
-        idle.saturating_sub(self.grace)
+        now.since(Timestamp(self.last.load(Ordering::Relaxed)))
     }
 }
