Share the check of statuses and the options of streams between both data planes

Gateways and entries had a copy each of the check whether a status is one of a final response, and of the state that configures a socket once for streams. Both stand in mimosa-transport now. No change of behaviour: the tests of slow readers and of statuses pass in both data planes.

--- a/crates/mimosa-entry/src/connection.rs
+++ b/crates/mimosa-entry/src/connection.rs
@@ -39,7 +39,6 @@
 use mimosa_transport::break_off::ResettableStream;
 use mimosa_transport::reserved_buffer::ReservedBuffer;
 use mimosa_transport::reserved_buffer::WhenFull;
-use mimosa_transport::socket;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -161,7 +160,6 @@
     /// Wraps the stream of the connection.
     pub(crate) fn track(self: &Arc<Self>, stream: TcpStream) -> TrackedStream {
         TrackedStream {
-            is_for_stream: false,
             stream: ResettableStream::new(stream, self.reset.clone()),
             connection: Arc::clone(self),
         }
@@ -306,15 +304,12 @@
 pub(crate) struct TrackedStream {
     stream: ResettableStream,
     connection: Arc<Connection>,
-    /// Whether the socket is configured for a stream.
-    is_for_stream: bool,
 }
 
 impl TrackedStream {
     fn configure(&mut self) {
-        if !self.is_for_stream && self.connection.sends_stream.load(Ordering::Relaxed) {
-            self.is_for_stream = true;
-            socket::configure_for_stream(self.stream.get_ref());
+        if self.connection.sends_stream.load(Ordering::Relaxed) {
+            self.stream.configure_for_stream();
         }
     }
 }
--- a/crates/mimosa-entry/src/engine/http.rs
+++ b/crates/mimosa-entry/src/engine/http.rs
@@ -26,6 +26,7 @@
 use mimosa_protocol::Incarnation;
 use mimosa_protocol::KvBlocks;
 use mimosa_protocol::Tokens;
+use mimosa_transport::status;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::TcpStream;
@@ -127,7 +128,7 @@
         match tokio::time::timeout(timeout, self.client.request(req)).await {
             Err(_) => Err(EngineFailure::TIMED_OUT),
             Ok(Err(e)) => Err(failure_of_error(&e)),
-            Ok(Ok(resp)) if !is_final_status(resp.status()) => Err(EngineFailure::WRONG_RESPONSE),
+            Ok(Ok(resp)) if !status::is_final(resp.status()) => Err(EngineFailure::WRONG_RESPONSE),
             Ok(Ok(resp)) => Ok(resp),
         }
     }
@@ -182,12 +183,6 @@
     Ok(body.map_err(|_| EngineFailure::DISCONNECTED)?.to_bytes())
 }
 
-/// Whether a status is one of a final response. No request asks for another protocol, and the numbers from 600 on
-/// mean nothing.
-fn is_final_status(status: StatusCode) -> bool {
-    (200..600).contains(&status.as_u16())
-}
-
 /// A request whose connection was never established was not sent, so it did not run.
 fn failure_of_error(e: &ClientError) -> EngineFailure {
     if e.is_connect() {
--- a/crates/mimosa-gateway/src/client_connection.rs
+++ b/crates/mimosa-gateway/src/client_connection.rs
@@ -157,7 +157,6 @@
     /// Wraps the stream of the connection, which reports received bytes here.
     pub(crate) fn track(self: &Arc<Self>, stream: TcpStream) -> TrackedStream {
         TrackedStream {
-            is_for_stream: false,
             stream: ResettableStream::new(stream, self.reset.clone()),
             tracker: Arc::clone(self),
         }
@@ -288,15 +287,12 @@
 pub(crate) struct TrackedStream {
     stream: ResettableStream,
     tracker: Arc<ActivityTracker>,
-    /// Whether the socket is configured for a stream.
-    is_for_stream: bool,
 }
 
 impl TrackedStream {
     fn configure(&mut self) {
-        if !self.is_for_stream && self.tracker.sends_stream.load(Ordering::Relaxed) {
-            self.is_for_stream = true;
-            socket::configure_for_stream(self.stream.get_ref());
+        if self.tracker.sends_stream.load(Ordering::Relaxed) {
+            self.stream.configure_for_stream();
         }
     }
 }
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -29,6 +29,7 @@
 use mimosa_schedule::cold::Pacing;
 use mimosa_schedule::pick::Candidate;
 use mimosa_schedule::pick::pick;
+use mimosa_transport::status;
 use tokio::time::timeout;
 
 use crate::connection::Connection;
@@ -342,7 +343,7 @@
         step: &step,
         is_first,
     };
-    let class = match is_final_status(response.status()) {
+    let class = match status::is_final(response.status()) {
         true => dialect.classify(&call, response.status(), response.headers()),
         false => ResponseClass::Unverified,
     };
@@ -449,12 +450,6 @@
     outgoing
 }
 
-/// Whether a status is one of a final response. No request asks for another protocol, and the numbers from 600 on
-/// mean nothing.
-fn is_final_status(status: StatusCode) -> bool {
-    (200..600).contains(&status.as_u16())
-}
-
 /// Removes hop-by-hop headers, including those listed in `Connection`.
 pub(crate) fn remove_hop_by_hop(headers: &mut HeaderMap) {
     let connection_headers: Vec<HeaderName> = headers
--- a/crates/mimosa-transport/src/break_off.rs
+++ b/crates/mimosa-transport/src/break_off.rs
@@ -40,12 +40,25 @@
 pub struct ResettableStream {
     stream: TcpStream,
     reset: ResetFlag,
+    is_for_stream: bool,
 }
 
 impl ResettableStream {
     /// Wraps a connection.
     pub const fn new(stream: TcpStream, reset: ResetFlag) -> Self {
-        Self { stream, reset }
+        Self {
+            stream,
+            reset,
+            is_for_stream: false,
+        }
+    }
+
+    /// Configures the socket once for responses that arrive as streams of small parts; see
+    /// [`socket::configure_for_stream`].
+    pub fn configure_for_stream(&mut self) {
+        if !std::mem::replace(&mut self.is_for_stream, true) {
+            socket::configure_for_stream(&self.stream);
+        }
     }
 
     /// The connection.
--- a/crates/mimosa-transport/src/lib.rs
+++ b/crates/mimosa-transport/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`link`] maintains a TCP connection to a peer and reconnects with [`backoff`].
 //! * [`break_off`] lets clients recognise HTTP responses that break off.
 //! * [`socket`] sets the options of TCP connections.
+//! * [`status`] tells which statuses a response may have.
 //! * [`clock`] provides the current time.
 
 pub mod accept;
@@ -19,3 +20,4 @@
 pub mod pressure_log;
 pub mod reserved_buffer;
 pub mod socket;
+pub mod status;
