--- a/crates/mimosa-gateway/src/dispatch/decision.rs
+++ b/crates/mimosa-gateway/src/dispatch/decision.rs
@@ -10,6 +10,7 @@
 /// Time for the leader to place or at least queue a request; covers several round trips within a
 /// region.
 pub(super) const LEADER_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// What a leader decided on a request, or that another one must decide.
 pub(super) enum Decision {
     Placed(Placement),
--- a/crates/mimosa-gateway/src/lib.rs
+++ b/crates/mimosa-gateway/src/lib.rs
@@ -9,7 +9,8 @@
 //!   centres that are taken out of service.
 //! * [`control_link`] keeps the directory up to date.
 //! * [`rollout`] restricts requests to the versions that a rollout of their service allows.
-//! * [`connection`] pools connections to endpoints; [`client_connection`] enforces time limits on
+//! * [`connection`] pools connections to endpoints, whose sockets are [`endpoint_stream`]s; [`takeover`] finds out
+//!   whether another process has taken the address of an endpoint; [`client_connection`] enforces time limits on
 //!   connections of clients, and [`client_connections`] bounds their number.
 //! * [`memory`] holds the memory account; [`answer_window`] counts responses that are read slowly.
 
