Show that the core stays without a leader after a restart

A seed that is silent for 1.5 s loses its vote for good. Once all three seeds have, the voters know only the seeds after a restart of all processes and never reach each other: no leader, no configuration, nothing served.

--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -8,9 +8,14 @@
 
 use crate::record::Record;
 
+mod added_stream;
 mod engine;
+mod forgotten_pause;
 mod http;
+mod plain;
 mod record;
+mod second_burst;
+mod seedless_core;
 mod silent_stream;
 mod system;
 
@@ -42,6 +47,10 @@
     record.line(&format!("case {case}, trouble: {has_trouble}"));
     let verdict = match case {
         "silent-stream" => silent_stream::run(&record, folder, has_trouble)?,
+        "forgotten-pause" => forgotten_pause::run(&record, folder, has_trouble)?,
+        "second-burst" => second_burst::run(&record, folder, has_trouble)?,
+        "added-stream" => added_stream::run(&record, folder, has_trouble)?,
+        "seedless-core" => seedless_core::run(&record, folder, has_trouble)?,
         _ => return Err(io::ErrorKind::InvalidInput.into()),
     };
     record.line(match verdict {
--- a/review/standins-3/src/system.rs
+++ b/review/standins-3/src/system.rs
@@ -7,6 +7,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::ops::Range;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -31,11 +32,34 @@
 const METRICS: u16 = 9464;
 const LIST: u16 = 8361;
 const WORKERS: u16 = 8268;
-const CONTROLS: u8 = 3;
+/// Addresses that a deployment has for control instances.
+const MAX_CONTROLS: u8 = 10;
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// A small deployment: three control instances, some gateways and the platform's list.
+/// The control instances of a deployment.
+#[derive(Clone, Debug)]
+pub struct Core {
+    /// Number of control instances.
+    pub controls: u8,
+    /// The numbers of those that the settings of all processes name as seeds.
+    pub seeds: Range<u8>,
+    /// How many of them may be lost at once.
+    pub tolerated_losses: u8,
+}
+
+impl Default for Core {
+    fn default() -> Self {
+        Self {
+            controls: 3,
+            seeds: 0..3,
+            tolerated_losses: 1,
+        }
+    }
+}
+
+/// A small deployment: control instances, some gateways and the platform's list.
 pub struct System {
+    core: Core,
     record: Record,
     folder: PathBuf,
     net: (u8, u8),
@@ -60,7 +84,8 @@
     pub address: SocketAddr,
     pub slots: u32,
     pub state: &'static str,
-    pub cold_remaining_ms: u64,
+    /// End of the cold time, which the list counts down.
+    pub cold_until: Option<Instant>,
     pub stage: Option<&'static str>,
     pub born: u64,
 }
@@ -73,13 +98,17 @@
             address,
             slots,
             state: "ready",
-            cold_remaining_ms: 0,
+            cold_until: None,
             stage: None,
             born: 1_790_000_000_000,
         }
     }
 
     fn json(&self) -> String {
+        let cold_remaining = self
+            .cold_until
+            .map(|until| until.saturating_duration_since(Instant::now()));
+        let cold_remaining_ms = cold_remaining.unwrap_or_default().as_millis();
         let stage = self.stage.map_or_else(String::new, |stage| {
             format!(
                 ",\"stage\":\"{stage}\",\"models\":[{{\"name\":\"m\",\"version\":1,\
@@ -95,7 +124,7 @@
             self.address,
             self.slots,
             self.state,
-            self.cold_remaining_ms,
+            cold_remaining_ms,
             self.born
         )
     }
@@ -123,7 +152,18 @@
 impl System {
     /// Starts the control instances and the gateways; the list serves from the start.
     pub fn start(record: &Record, folder: PathBuf, gateways: u8) -> io::Result<Self> {
+        Self::start_with(record, folder, gateways, Core::default())
+    }
+
+    /// Starts a deployment with other control instances.
+    pub fn start_with(
+        record: &Record,
+        folder: PathBuf,
+        gateways: u8,
+        core: Core,
+    ) -> io::Result<Self> {
         let system = Self {
+            core,
             record: record.clone(),
             folder,
             net: free_net()?,
@@ -132,7 +172,7 @@
             list: Arc::default(),
         };
         system.serve_list()?;
-        for number in 0..CONTROLS {
+        for number in 0..system.core.controls {
             system.start_control(number, true)?;
         }
         for number in 0..gateways {
@@ -181,7 +221,11 @@
     }
 
     fn seeds(&self) -> String {
-        let seeds = (0..CONTROLS).map(|number| format!("\"{}\"", self.admin(number)));
+        let seeds = self
+            .core
+            .seeds
+            .clone()
+            .map(|number| format!("\"{}\"", self.admin(number)));
         seeds.collect::<Vec<_>>().join(",")
     }
 
@@ -199,12 +243,13 @@
              peer_listen = \"{ip}:{PEERS}\"\nentry_listen = \"{ip}:{ENTRIES}\"\n\
              heartbeat = \"1s\"\n\n\
              [control.routing]\nseeds = [{}]\nfound = {found}\n\
-             endpoint_list = \"{}:{LIST}\"\nlist_call_rate = \"40\"\ntolerated_losses = 1\n\
+             endpoint_list = \"{}:{LIST}\"\nlist_call_rate = \"40\"\ntolerated_losses = {}\n\
              quota_overage = \"0.1\"\nquota_slack = 120000\nmetrics = \"{ip}:{METRICS}\"\n\
              order_lease = \"3000ms\"\n",
             self.folder.join(format!("{name}.data")).display(),
             self.seeds(),
-            self.ip(5)
+            self.ip(5),
+            self.core.tolerated_losses
         );
         self.spawn(&name, "control", &settings)
     }
@@ -277,13 +322,6 @@
         }
     }
 
-    /// Whether a process has ended by itself or by a signal.
-    pub fn has_ended(&self, name: &str) -> bool {
-        let mut children = self.children.lock().expect("no holder panics");
-        let child = children.iter_mut().rev().find(|(known, _)| known == name);
-        child.is_some_and(|(_, child)| matches!(child.try_wait(), Ok(Some(_))))
-    }
-
     /// Sends a configuration to a control instance. Returns the status; 0 without an answer.
     pub fn put_config(&self, control: u8, config: &str) -> u16 {
         let headers = [("content-type", "application/json")];
@@ -294,9 +332,29 @@
         result.map_or(0, |(head, _)| head.status())
     }
 
+    /// Reads the configuration from a control instance; `None` without an answer of 200.
+    pub fn read_config(&self, control: u8) -> Option<String> {
+        let start = "GET /api/config HTTP/1.1";
+        let timeout = Duration::from_secs(2);
+        let (head, body) = http::call(self.admin(control), start, &[], b"", timeout).ok()?;
+        (head.status() == 200).then(|| String::from_utf8_lossy(&body).into_owned())
+    }
+
+    /// Ends all processes with SIGKILL at the same moment.
+    pub fn kill_all(&self) {
+        let mut children = self.children.lock().expect("no holder panics");
+        self.record.line("SIGKILL to all processes");
+        for (_, child) in children.iter_mut() {
+            child.kill().ok();
+        }
+        for (_, child) in children.iter_mut() {
+            child.wait().ok();
+        }
+    }
+
     /// Number of the control instance that says in its metrics that it leads.
     pub fn leader(&self) -> Option<u8> {
-        (0..CONTROLS).find(|number| {
+        (0..self.core.controls).find(|number| {
             let address = (self.ip(10 + number), METRICS).into();
             let timeout = Duration::from_millis(300);
             let result = http::call(address, "GET /metrics HTTP/1.1", &[], &[], timeout);
@@ -312,7 +370,7 @@
         let end = Instant::now() + START_TIMEOUT;
         let mut control = 0;
         while self.put_config(control, config) != 200 {
-            control = (control + 1) % CONTROLS;
+            control = (control + 1) % self.core.controls;
             if Instant::now() > end {
                 return false;
             }
@@ -361,7 +419,7 @@
         let is_free = |host: u8, port: u16| {
             TcpListener::bind((Ipv4Addr::new(127, net.0, net.1, host), port)).is_ok()
         };
-        let controls = (10..10 + CONTROLS).all(|host| {
+        let controls = (10..10 + MAX_CONTROLS).all(|host| {
             [ADMIN, PEERS, ENTRIES, METRICS].map(|port| is_free(host, port)) == [true; 4]
         });
         let others = is_free(5, LIST)
