Case 12: a lost close hides a crash, and the cut answer looks complete

The crash check of answers without a length takes one connection that still seems open after 60 ms as proof that the worker lives. A lost packet is sent again after 200 ms at the earliest.

--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -12,6 +12,7 @@
 mod engine;
 mod forgotten_pause;
 mod http;
+mod lost_close;
 mod plain;
 mod record;
 mod second_burst;
@@ -31,6 +32,12 @@
         eprintln!("usage: review-3 CASE RECORD FOLDER");
         return ExitCode::from(2);
     };
+    if case == "worker" {
+        let worked = record
+            .parse()
+            .map(|address| lost_close::work(address, folder));
+        return ExitCode::from(if worked.is_ok() { 0 } else { 2 });
+    }
     let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
     match run(&case, Path::new(&record), folder.into(), has_trouble) {
         Ok(Verdict::Held) => ExitCode::SUCCESS,
@@ -51,6 +58,7 @@
         "second-burst" => second_burst::run(&record, folder, has_trouble)?,
         "added-stream" => added_stream::run(&record, folder, has_trouble)?,
         "seedless-core" => seedless_core::run(&record, folder, has_trouble)?,
+        "lost-close" => lost_close::run(&record, folder, has_trouble)?,
         _ => return Err(io::ErrorKind::InvalidInput.into()),
     };
     record.line(match verdict {
