--- a/review/standins-3/src/system.rs
+++ b/review/standins-3/src/system.rs
@@ -87,6 +87,7 @@
     /// End of the cold time, which the list counts down.
     pub cold_until: Option<Instant>,
     pub stage: Option<&'static str>,
+    pub zone: &'static str,
     pub born: u64,
 }
 
@@ -100,6 +101,7 @@
             state: "ready",
             cold_until: None,
             stage: None,
+            zone: "sem-a",
             born: 1_790_000_000_000,
         }
     }
@@ -116,12 +118,13 @@
             )
         });
         format!(
-            "{{\"id\":\"{}\",\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"sem-a\",\
+            "{{\"id\":\"{}\",\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\
              \"version\":\"v1\",\"slots\":{},\"state\":\"{}\",\"cold_remaining_ms\":{},\
              \"born\":{}{stage}}}",
             self.id,
             self.service,
             self.address,
+            self.zone,
             self.slots,
             self.state,
             cold_remaining_ms,
