--- a/crates/mimosa-consensus/src/settings.rs
+++ b/crates/mimosa-consensus/src/settings.rs
@@ -89,6 +89,8 @@
     VoteForAnyLog,
     /// Messages to and from earlier incarnations are accepted.
     AcceptOldIncarnations,
+    /// A replica names only the members of the latest membership known to be committed.
+    ForgetUncommittedMembers,
 }
 
 impl Default for Settings {
--- a/crates/mimosa-consensus/src/status.rs
+++ b/crates/mimosa-consensus/src/status.rs
@@ -1,8 +1,11 @@
 //! Read access to the state of a replica.
 
+use std::collections::BTreeSet;
 use std::hash::Hash;
 use std::hash::Hasher;
 
+use mimosa_protocol::InstanceId;
+
 use crate::entry::Entry;
 use crate::event::RoleName;
 use crate::id::LogIndex;
@@ -11,6 +14,7 @@
 use crate::membership::Membership;
 use crate::replica::Replica;
 use crate::replica::Role;
+use crate::settings::InjectedBug;
 
 impl Replica {
     /// Index of the first entry of a leader's own term; `None` if this replica does not lead.
@@ -102,6 +106,21 @@
         self.log.membership_at(self.commit)
     }
 
+    /// The instances that the latest membership names, committed or not, and those of the latest one known
+    /// to be committed. A replica that starts knows no commit but that of its snapshot, whose membership
+    /// may name none of the present voters.
+    pub fn named_instances(&self) -> BTreeSet<InstanceId> {
+        let committed = self.committed_membership().all();
+        let latest = match self.settings.has_bug(InjectedBug::ForgetUncommittedMembers) {
+            true => None,
+            false => Some(self.membership().all()),
+        };
+        committed
+            .chain(latest.into_iter().flatten())
+            .map(|id| id.instance.clone())
+            .collect()
+    }
+
     /// On a leader, the highest index up to which the log of each other member matches and is synced.
     /// Empty on other replicas.
     pub fn matched_indexes(&self) -> impl Iterator<Item = (&ReplicaId, LogIndex)> {
--- a/crates/mimosa-consensus/tests/support/cluster.rs
+++ b/crates/mimosa-consensus/tests/support/cluster.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "each test file uses its part")]
 
+#[path = "contacts.rs"]
+mod contacts;
 #[path = "invariants.rs"]
 pub mod invariants;
 #[path = "lifecycle.rs"]
@@ -14,6 +16,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use mimosa_consensus::Action;
@@ -35,6 +38,7 @@
 use mimosa_storage::fault::Random;
 use mimosa_storage::replica as replica_store;
 
+use self::contacts::Contacts;
 use self::invariants::Invariants;
 use self::process::Process;
 
@@ -68,6 +72,8 @@
     Deliver(Message),
     /// Timer of the process with this generation.
     Wake(u64),
+    /// Discovery of peers by the process with this generation.
+    Discover(u64),
     /// Write and sync of the process with this generation.
     Write(u64, Persist),
 }
@@ -104,6 +110,8 @@
     pub reuses_incarnation: bool,
     pub message_counts: BTreeMap<&'static str, u64>,
     pub sent_bytes: u64,
+    /// `None` if every instance knows and reaches every other from the start.
+    contacts: Option<Contacts>,
     queue: BTreeMap<(Timestamp, u64), (InstanceId, Job)>,
     last_sequence: u64,
     next_id: u64,
@@ -123,7 +131,21 @@
             peers: (1..=MAX_REPLICAS).map(instance).collect(),
             ..settings
         };
-        let initial_members = Membership::from_voters((1..=voters).map(|number| ReplicaId {
+        Self::start_voters(seed, 1..=voters, settings, None)
+    }
+
+    /// Bootstraps and starts a cluster of voters that are each other's seeds and discover all others.
+    pub fn with_discovery(seed: u64, voters: RangeInclusive<usize>, settings: Settings) -> Self {
+        Self::start_voters(seed, voters, settings, Some(Contacts::default()))
+    }
+
+    fn start_voters(
+        seed: u64,
+        voters: RangeInclusive<usize>,
+        settings: Settings,
+        contacts: Option<Contacts>,
+    ) -> Self {
+        let initial_members = Membership::from_voters(voters.clone().map(|number| ReplicaId {
             instance: instance(number),
             incarnation: Incarnation(1),
         }));
@@ -139,13 +161,15 @@
             reuses_incarnation: false,
             message_counts: BTreeMap::new(),
             sent_bytes: 0,
+            contacts,
             queue: BTreeMap::new(),
             last_sequence: 0,
             next_id: 0,
             initial_members,
         };
-        (1..=voters).for_each(|number| cluster.add(number, seed));
-        for number in 1..=voters {
+        voters.clone().for_each(|number| cluster.add(number, seed));
+        cluster.set_seeds(&voters.clone().map(instance).collect());
+        for number in voters {
             cluster.bootstrap(number);
             cluster.start(&instance(number));
         }
@@ -204,6 +228,7 @@
         let event = match job {
             Job::Deliver(message) => Event::Receive(message),
             Job::Wake(started) if started == generation => Event::Wake,
+            Job::Discover(started) if started == generation => return self.discover(&id),
             Job::Write(started, persist) if started == generation => {
                 let written = replica_store::write(&mut process.store, &persist);
                 let is_synced = written.and_then(|()| process.store.sync()).is_ok();
@@ -214,7 +239,7 @@
                 let write_id = persist.write_id;
                 Event::Persisted { write_id }
             }
-            Job::Wake(_) | Job::Write(..) => return,
+            Job::Wake(_) | Job::Discover(_) | Job::Write(..) => return,
         };
         self.handle_event(&id, event);
     }
@@ -317,6 +342,10 @@
         let bytes = postcard::to_stdvec(&message).expect("messages can be encoded");
         self.sent_bytes += bytes.len() as u64;
         let pair = (message.from.instance.clone(), message.to.clone());
+        let is_unknown = |contacts: &Contacts| !contacts.knows(&pair.0, &pair.1);
+        if self.contacts.as_ref().is_some_and(is_unknown) {
+            return;
+        }
         if self.blocked_links.contains(&pair)
             || self.random.below(1_000) < self.network.loss_permille
         {
--- a/crates/mimosa-consensus/tests/support/lifecycle.rs
+++ b/crates/mimosa-consensus/tests/support/lifecycle.rs
@@ -61,11 +61,13 @@
         let store = self.open(id).expect("the disk is not damaged");
         let durable = replica_store::load(&store).expect("the records are whole");
         let replica_id = replica_store::replica_id(&store);
-        let seed = self.random.next_u64();
-        let settings = Settings {
-            seed,
+        let mut settings = Settings {
+            seed: self.random.next_u64(),
             ..self.settings.clone()
         };
+        if let Some(contacts) = &mut self.contacts {
+            settings.peers = contacts.start(id);
+        }
         let (replica, actions) = Replica::start(self.clock(id), replica_id, durable, settings);
         let node = self.nodes.get_mut(id).expect("the instance exists");
         node.generation += 1;
@@ -75,7 +77,11 @@
             applied: LogIndex::ZERO,
             digest: 0,
         });
+        let generation = node.generation;
         self.carry_out(id, actions);
+        if self.contacts.is_some() {
+            self.schedule(self.now, id.clone(), Job::Discover(generation));
+        }
     }
 
     /// Crashes the instance: unsynced data is lost. Up to two pending writes are made just before, but
--- a/crates/mimosa-control/src/peer/discovery.rs
+++ b/crates/mimosa-control/src/peer/discovery.rs
@@ -54,10 +54,8 @@
 
     fn check_members(&self, links: &mut JoinSet<()>) {
         let status = self.status.get();
-        for name in status.voters.iter().chain(&status.learners) {
-            if let Ok(instance) = name.parse() {
-                self.connect(instance, links);
-            }
+        for instance in status.named {
+            self.connect(instance, links);
         }
         if !status.votes {
             self.outbound.send_all(&PeerMessage::QueryMembers);
--- a/crates/mimosa-control/src/replicator.rs
+++ b/crates/mimosa-control/src/replicator.rs
@@ -1,8 +1,10 @@
 //! The interface to the replicated log.
 
+use std::collections::BTreeSet;
 use std::pin::Pin;
 
 use mimosa_consensus::LogIndex;
+use mimosa_protocol::InstanceId;
 use mimosa_state::CommandResult;
 use mimosa_state::Operation;
 use thiserror::Error;
@@ -52,6 +54,10 @@
     pub voters: Vec<String>,
     /// The non-voting instances, which catch up on the log.
     pub learners: Vec<String>,
+    /// The instances that this replica connects to: those of the committed membership and of the latest one
+    /// in its log.
+    #[serde(skip)]
+    pub named: BTreeSet<InstanceId>,
     /// Why this replica stopped, if it did.
     pub fault: Option<String>,
 }
--- a/crates/mimosa-control/src/replicator/replicated/core.rs
+++ b/crates/mimosa-control/src/replicator/replicated/core.rs
@@ -517,6 +517,7 @@
             leads_from: self.replica.leadership_start().map_or(0, LogIndex::get),
             voters: names(&members.voters),
             learners: names(&members.learners),
+            named: self.replica.named_instances(),
             fault: self.fault.clone(),
         };
         self.status.set(status);
