Ask for the members while no leader is known, and name connected instances

Callers saw: a control instance that was down while all others were replaced never became a member again, although its seeds ran.

Cause: by its old log it had a vote, so it did not ask for the members; the answer held only the members of the log of the one that was asked.

Change: it asks while it knows no leader or has no vote. The answer also names the instances that answer on their connections.

--- a/crates/mimosa-consensus/src/status.rs
+++ b/crates/mimosa-consensus/src/status.rs
@@ -121,6 +121,12 @@
             .collect()
     }
 
+    /// Whether this replica needs to ask other instances for the members: it knows no leader, which would
+    /// send to it, or has no vote.
+    pub fn seeks_members(&self) -> bool {
+        self.leader.is_none() || !self.committed_membership().voters.contains(&self.id)
+    }
+
     /// On a leader, the highest index up to which the log of each other member matches and is synced.
     /// Empty on other replicas.
     pub fn matched_indexes(&self) -> impl Iterator<Item = (&ReplicaId, LogIndex)> {
--- a/crates/mimosa-consensus/tests/discovery.rs
+++ b/crates/mimosa-consensus/tests/discovery.rs
@@ -415,6 +415,33 @@
     }
 }
 
+/// Guards against an instance that stays outside, as all that its log names are gone and it does not ask
+/// its seeds for the members.
+#[googletest::test]
+fn an_instance_whose_log_names_only_lost_instances_rejoins_through_its_seeds() {
+    for seed in 0..5 {
+        let mut core = Core::start(seed, settings(4));
+        let original = core.names();
+        let voters = core.committed.1.voters.iter();
+        let absent = voters.map(|id| id.instance.clone()).next().unwrap();
+        core.cluster.crash(&absent);
+        core.run(15 * SECOND);
+        for old in original.iter().filter(|id| **id != absent) {
+            core.replace(old);
+            core.run(15 * SECOND);
+        }
+        core.exchange_seeds();
+        core.crash_all();
+        core.start_all();
+        core.run(30 * SECOND);
+        let members = core.members();
+        expect_true!(
+            members.all().any(|id| id.instance == absent),
+            "seed {seed}: {absent} is not in {members}"
+        );
+    }
+}
+
 #[googletest::test]
 fn a_core_is_led_whenever_a_majority_of_its_voters_is_up_and_in_touch() {
     expect_that!(failures(0..40, &[]), is_empty());
--- a/crates/mimosa-consensus/tests/support/contacts.rs
+++ b/crates/mimosa-consensus/tests/support/contacts.rs
@@ -55,14 +55,14 @@
             return;
         };
         let named = process.replica.named_instances();
-        let members = process.replica.committed_membership();
-        let seeks_members = !members.voters.contains(process.replica.id());
+        let seeks_members = process.replica.seeks_members();
         self.connect(id, named);
         for peer in self.connected_peers(id) {
             self.connect(&peer, [id.clone()]);
             if seeks_members {
                 let named = self.process(&peer).replica.named_instances();
-                self.connect(id, named);
+                let connected = self.connected_peers(&peer);
+                self.connect(id, named.into_iter().chain(connected));
             }
         }
         let generation = self.nodes[id].generation;
--- a/crates/mimosa-control/src/peer.rs
+++ b/crates/mimosa-control/src/peer.rs
@@ -66,7 +66,8 @@
         Bootstrapped(bool),
         /// Asks for the control instances that the receiver knows.
         QueryMembers,
-        /// Reply to [`PeerMessage::QueryMembers`]: the voters and learners.
+        /// Reply to [`PeerMessage::QueryMembers`]: the voters and learners, and the instances that the
+        /// sender is connected to.
         Members(Vec<InstanceId>),
         /// Checks that this connection is alive; sent periodically.
         Ping,
--- a/crates/mimosa-control/src/peer/discovery.rs
+++ b/crates/mimosa-control/src/peer/discovery.rs
@@ -57,7 +57,7 @@
         for instance in status.named {
             self.connect(instance, links);
         }
-        if !status.votes {
+        if status.seeks_members {
             self.outbound.send_all(&PeerMessage::QueryMembers);
         }
     }
--- a/crates/mimosa-control/src/peer/inbound.rs
+++ b/crates/mimosa-control/src/peer/inbound.rs
@@ -142,8 +142,9 @@
                 PeerMessage::Ping => frame::write(stream, &PeerMessage::Pong).await?,
                 PeerMessage::QueryMembers => {
                     let status = self.status.get();
-                    let members = status.voters.iter().chain(&status.learners);
-                    let members = members.filter_map(|name| name.parse().ok()).collect();
+                    let mut known = status.named;
+                    known.extend(self.outbound.connected());
+                    let members = known.into_iter().collect();
                     self.outbound.send(&instance, PeerMessage::Members(members));
                 }
                 PeerMessage::Members(members) => {
--- a/crates/mimosa-control/src/peer/outbound.rs
+++ b/crates/mimosa-control/src/peer/outbound.rs
@@ -2,8 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::PoisonError;
 use std::sync::RwLock;
+use std::sync::RwLockReadGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use log::debug;
@@ -41,7 +45,13 @@
 /// dropped.
 pub struct Outbound {
     hello: PeerMessage,
-    queues: RwLock<BTreeMap<InstanceId, mpsc::Sender<PeerMessage>>>,
+    peers: RwLock<BTreeMap<InstanceId, Peer>>,
+}
+
+struct Peer {
+    queue: mpsc::Sender<PeerMessage>,
+    /// Whether the peer answers on its connection.
+    is_connected: Arc<AtomicBool>,
 }
 
 /// A connection that is kept open to one peer.
@@ -50,6 +60,7 @@
     address: SocketAddr,
     hello: PeerMessage,
     queue: mpsc::Receiver<PeerMessage>,
+    is_connected: Arc<AtomicBool>,
 }
 
 impl Outbound {
@@ -60,7 +71,7 @@
     ) -> (Self, Vec<PeerLink>) {
         let outbound = Self {
             hello: hello.clone(),
-            queues: RwLock::default(),
+            peers: RwLock::default(),
         };
         let links = peers
             .into_iter()
@@ -71,36 +82,53 @@
 
     /// Adds a peer; `None` if it was added before. The caller must run the [`PeerLink`] as a task.
     pub fn add(&self, peer: InstanceId, address: SocketAddr) -> Option<PeerLink> {
-        let mut queues = self.queues.write().unwrap_or_else(PoisonError::into_inner);
-        if queues.contains_key(&peer) {
+        let mut peers = self.peers.write().unwrap_or_else(PoisonError::into_inner);
+        if peers.contains_key(&peer) {
             return None;
         }
         let (tx, queue) = mpsc::channel(MAX_QUEUED_MESSAGES);
-        queues.insert(peer.clone(), tx);
+        let is_connected = Arc::new(AtomicBool::new(false));
+        let added = Peer {
+            queue: tx,
+            is_connected: Arc::clone(&is_connected),
+        };
+        peers.insert(peer.clone(), added);
         Some(PeerLink {
             peer,
             address,
             hello: self.hello.clone(),
             queue,
+            is_connected,
         })
     }
 
     /// Queues a message. Returns false if the peer is unknown or its queue is full. A queued
     /// message can still be lost.
     pub fn send(&self, to: &InstanceId, message: PeerMessage) -> bool {
-        let queues = self.queues.read().unwrap_or_else(PoisonError::into_inner);
-        queues
+        self.peers()
             .get(to)
-            .is_some_and(|queue| queue.try_send(message).is_ok())
+            .is_some_and(|peer| peer.queue.try_send(message).is_ok())
     }
 
     /// Queues a message for every peer; full queues drop it.
     pub fn send_all(&self, message: &PeerMessage) {
-        let queues = self.queues.read().unwrap_or_else(PoisonError::into_inner);
-        queues.values().for_each(|queue| {
-            queue.try_send(message.clone()).ok();
+        self.peers().values().for_each(|peer| {
+            peer.queue.try_send(message.clone()).ok();
         });
     }
+
+    /// The peers that answer on their connections.
+    pub fn connected(&self) -> Vec<InstanceId> {
+        self.peers()
+            .iter()
+            .filter(|(_, peer)| peer.is_connected.load(Ordering::Relaxed))
+            .map(|(instance, _)| instance.clone())
+            .collect()
+    }
+
+    fn peers(&self) -> RwLockReadGuard<'_, BTreeMap<InstanceId, Peer>> {
+        self.peers.read().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl PeerLink {
@@ -131,10 +159,13 @@
     async fn write(&mut self, stream: TcpStream) -> Option<()> {
         mimosa_transport::socket::configure(&stream);
         let (pongs, writer) = stream.into_split();
-        tokio::select! {
+        let is_connected = Arc::clone(&self.is_connected);
+        let written = tokio::select! {
             written = self.write_all(writer) => written,
-            () = read_pongs(pongs) => Some(()),
-        }
+            () = read_pongs(pongs, &is_connected) => Some(()),
+        };
+        is_connected.store(false, Ordering::Relaxed);
+        written
     }
 
     async fn write_all(&mut self, mut writer: OwnedWriteHalf) -> Option<()> {
@@ -161,8 +192,9 @@
 }
 
 /// Returns when the connection closes or no pong arrives within [`PONG_TIMEOUT`].
-async fn read_pongs(mut pongs: OwnedReadHalf) {
+async fn read_pongs(mut pongs: OwnedReadHalf, is_connected: &AtomicBool) {
     while let Ok(Ok(Some(PeerMessage::Pong))) = timeout(PONG_TIMEOUT, frame::read(&mut pongs)).await
     {
+        is_connected.store(true, Ordering::Relaxed);
     }
 }
--- a/crates/mimosa-control/src/replicator.rs
+++ b/crates/mimosa-control/src/replicator.rs
@@ -58,6 +58,9 @@
     /// in its log.
     #[serde(skip)]
     pub named: BTreeSet<InstanceId>,
+    /// Whether this replica asks other instances for the members.
+    #[serde(skip)]
+    pub seeks_members: bool,
     /// Why this replica stopped, if it did.
     pub fault: Option<String>,
 }
--- a/crates/mimosa-control/src/replicator/replicated/core.rs
+++ b/crates/mimosa-control/src/replicator/replicated/core.rs
@@ -497,6 +497,7 @@
                 votes: false,
                 leader: None,
                 leads_from: 0,
+                seeks_members: true,
                 fault: self.fault.clone(),
                 ..self.status.get()
             });
@@ -518,6 +519,7 @@
             voters: names(&members.voters),
             learners: names(&members.learners),
             named: self.replica.named_instances(),
+            seeks_members: self.replica.seeks_members(),
             fault: self.fault.clone(),
         };
         self.status.set(status);
