--- a/crates/mimosa-gateway/src/metrics.rs
+++ b/crates/mimosa-gateway/src/metrics.rs
@@ -211,7 +211,8 @@
         self.load_calls.with_label_values(&[outcome]).inc();
     }
 
-    /// Records an attempt to resume a stream: `refused`, `started` or `failed`.
+    /// Records a step of the resumption of a stream: `refused`, `started`, `failed`, `switched` once the client
+    /// gets the second stream, or `abandoned` if the first one goes on.
     pub(crate) fn record_resume(&self, outcome: &str) {
         self.resumes.with_label_values(&[outcome]).inc();
     }
--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -83,6 +83,8 @@
     /// Fingerprint of the content, by which the leader recognises a client that it told to retry;
     /// `None` if fair shares are disabled.
     fingerprint: Option<u64>,
+    /// Endpoint whose stream is still open, although silent, so that it gets no second run.
+    pub(crate) running_at: Option<EndpointId>,
 }
 
 impl Attempts {
@@ -94,8 +96,19 @@
             kv_cache: None,
             began_on: None,
             fingerprint: None,
+            running_at: None,
         }
     }
+
+    /// The endpoint that was tried last.
+    pub(crate) fn last_endpoint(&self) -> Option<EndpointId> {
+        self.tried.last().map(|each| each.listed.id.clone())
+    }
+
+    /// Releases the KV cache of an attempt that was given up before its decode.
+    pub(crate) fn discard_kv_cache(&mut self) {
+        self.kv_cache = None;
+    }
 }
 
 /// Runs a request to a language model. Its stream is resumable if the route allows it.
@@ -113,12 +126,12 @@
     if !request.route.retry_policy.allows_resume() {
         return Ok(response);
     }
-    let context = ResumeContext {
-        shared: Arc::clone(shared),
-        request: request.clone(),
-        client_request: client_request.clone(),
+    let context = ResumeContext::new(
+        Arc::clone(shared),
+        request.clone(),
+        client_request.clone(),
         attempts,
-    };
+    );
     Ok(resume::resumable(response, context))
 }
 
@@ -243,15 +256,17 @@
     let tracked = TrackedRun::new(request, client_request);
     let sent = shared.now();
     let time_left = request.time_left(sent);
+    // Counted before the call, which may be given up at any point.
+    let remaining = attempts.remaining;
+    attempts.remaining = remaining.saturating_sub(1);
+    attempts.tried.push(Arc::clone(&decode));
     match upstream::call(shared, request, client_request, &decode, step, time_left).await {
         Ok(response) => {
             if let Some(lease) = attempts.kv_cache.take() {
                 lease.consume();
             }
-            attempts.remaining = attempts.remaining.saturating_sub(1);
             let version = decode.listed.version.clone();
             attempts.began_on.get_or_insert(StreamVersion(version));
-            attempts.tried.push(decode.clone());
             info!(
                 "request={} step=decode outcome=started endpoint={} waited_ms={}",
                 request.metadata.attempt_id,
@@ -292,12 +307,12 @@
                 CallFailure::Unknown(_) => RunEnd::EndpointLost(id),
                 CallFailure::TimedOut => RunEnd::Aborted,
             });
-            if !failure.has_not_run() {
-                attempts.remaining = attempts.remaining.saturating_sub(1);
+            if failure.has_not_run() {
+                attempts.remaining = remaining;
+            } else {
                 // A KV cache can be used once, and this attempt may have used it.
                 attempts.kv_cache = None;
             }
-            attempts.tried.push(decode);
             Err(failure)
         }
     }
@@ -471,7 +486,10 @@
             .iter()
             .map(|each| each.listed.id.clone())
             .collect(),
-        exclude: excluded_endpoints(shared, now, request),
+        exclude: excluded_endpoints(shared, now, request)
+            .into_iter()
+            .chain(attempts.running_at.clone())
+            .collect(),
         kv_cache_at: attempts
             .kv_cache
             .as_ref()
--- a/crates/mimosa-gateway/src/resume.rs
+++ b/crates/mimosa-gateway/src/resume.rs
@@ -1,7 +1,10 @@
 //! Resumption of event streams at another endpoint after a failure or a stall.
+//!
+//! An endpoint that sends nothing may have lost a stream or may have put it off. A silent stream
+//! therefore stays open while its rest is requested elsewhere, and is closed with the first event from
+//! there; if it goes on first, or there is none, it is kept.
 
 use std::pin::Pin;
-use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -12,51 +15,63 @@
 use hyper::Response;
 use hyper::body::Body as _;
 use hyper::body::Frame;
-use log::info;
 use mimosa_hold::events::EventBuffer;
 use mimosa_hold::events::MAX_EVENT_BYTES;
 use tokio::time::Instant;
 use tokio::time::Sleep;
 use tokio::time::sleep;
 
-use crate::head::IdentifiedRequest;
-use crate::model;
-use crate::model::Attempts;
-use crate::relay;
 use crate::response::Body;
 use crate::response::BodyError;
-use crate::response::Failure;
-use crate::shared::Shared;
-use crate::upstream::ClientRequest;
+use crate::resume::successor::Requested;
+use crate::resume::successor::SuccessorOutcome;
 
-/// Minimum stall time after which a stream is resumed elsewhere.
+mod successor;
+
+pub(crate) use crate::resume::successor::ResumeContext;
+
+/// Minimum stall time after which a stream is requested elsewhere.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Stall timeout as a multiple of the event gap target. Clients disconnect after 8 times the
 /// target.
 const STALL_TIMEOUT_GAPS: u32 = 4;
+/// Longest time for which two endpoints work on a request: less than the 400 ms after which a second
+/// run counts as running twice.
+const MAX_OVERLAP: Duration = Duration::from_millis(350);
+type NextFrame = Option<Result<Frame<Bytes>, BodyError>>;
 
-/// Request of a stream and its attempts so far, needed to resume the stream.
-pub(crate) struct ResumeContext {
-    pub(crate) shared: Arc<Shared>,
-    pub(crate) request: IdentifiedRequest,
-    pub(crate) client_request: ClientRequest,
-    pub(crate) attempts: Attempts,
+/// The rest of a stream at another endpoint.
+enum Successor {
+    NotRequested(Box<ResumeContext>),
+    Requested(Requested),
+    /// The endpoint has begun its answer, but has sent no new event yet.
+    Begun(BegunStream),
+    /// After the end of the stream, and temporarily while the successor is replaced.
+    None,
 }
 
-type ResumeFuture =
-    Pin<Box<dyn Future<Output = (Box<ResumeContext>, Result<Body, Failure>)> + Send>>;
+struct BegunStream {
+    body: Body,
+    events: EventBuffer,
+    context: Box<ResumeContext>,
+    overlap_timer: Pin<Box<Sleep>>,
+}
 
-enum Source {
-    Open(Body, Box<ResumeContext>),
-    Resuming(ResumeFuture),
-    /// After the end of the stream, and temporarily while the source is replaced.
-    Ended,
+impl BegunStream {
+    /// Closes the stream, whose endpoint then stops.
+    fn give_up(self, reason: &str) -> Successor {
+        self.context.record("abandoned", reason);
+        Successor::NotRequested(self.context)
+    }
 }
 
 /// Response body whose endpoint may change.
 struct ResumableBody {
-    source: Source,
+    /// The stream that is forwarded; `None` after it broke off.
+    current: Option<Body>,
+    /// Holds back incomplete events of the current stream.
     events: EventBuffer,
+    successor: Successor,
     stall_timeout: Duration,
     stall_timer: Pin<Box<Sleep>>,
 }
@@ -71,8 +86,9 @@
         .last_event_id(&context.client_request.headers);
     response.map(|body| {
         let resumable = ResumableBody {
-            source: Source::Open(body, Box::new(context)),
+            current: Some(body),
             events: EventBuffer::after(last_event_id),
+            successor: Successor::NotRequested(Box::new(context)),
             stall_timeout,
             stall_timer: Box::pin(sleep(stall_timeout)),
         };
@@ -81,171 +97,230 @@
 }
 
 impl ResumableBody {
-    /// Closes the current stream and starts to resume it at another endpoint, if the request may
-    /// run again. Returns whether it does.
-    fn resume(&mut self, cause: &str) -> bool {
-        let Source::Open(_, context) = &self.source else {
-            return false;
-        };
-        let attempt_id = &context.request.metadata.attempt_id;
-        let is_allowed = context.take_retry();
-        info!(
-            "request={attempt_id} step=resume cause=\"{cause}\" outcome={} last_event={}",
-            if is_allowed { "tried" } else { "refused" },
-            self.events.last_id().unwrap_or("none"),
-        );
-        if !is_allowed {
-            context.shared.metrics.record_resume("refused");
-            return false;
-        }
-        self.events.resume();
-        let last_event_id = self.events.last_id().map(str::to_owned);
-        // Dropping the old response body closes its connection, which stops the endpoint's work.
-        if let Source::Open(_, context) = std::mem::replace(&mut self.source, Source::Ended) {
-            self.source = Source::Resuming(Box::pin(context.resume_after(last_event_id)));
-        }
-        true
-    }
-
     fn reset_stall_timer(&mut self) {
         self.stall_timer
             .as_mut()
             .reset(Instant::now() + self.stall_timeout);
     }
 
-    /// Polls the open stream. Returns `None` if no complete event is available yet or the stream is
-    /// being resumed.
-    fn poll_open(&mut self, cx: &mut Context<'_>) -> Poll<Option<NextFrame>> {
-        let Source::Open(body, _) = &mut self.source else {
-            return Poll::Ready(Some(None));
-        };
-        match Pin::new(body).poll_frame(cx) {
-            Poll::Ready(Some(Ok(frame))) => {
-                let data = frame.into_data().unwrap_or_default();
-                let complete = self.events.push(&data);
-                if self.events.partial_len() > MAX_EVENT_BYTES {
-                    let is_resuming = self.resume("an event is too large");
-                    let error = BodyError::NotResumed("an event is too large");
-                    return Poll::Ready((!is_resuming).then_some(Some(Err(error))));
-                }
-                // Bytes of an incomplete event are no progress.
-                if complete.is_empty() {
-                    return self.poll_stall(cx);
+    /// Requests the rest of the stream from another endpoint, if the request may run again. Returns
+    /// whether it does.
+    fn request_successor(&mut self, cause: &str) -> bool {
+        match std::mem::replace(&mut self.successor, Successor::None) {
+            Successor::NotRequested(context) => {
+                let last_event_id = self.events.last_id().map(str::to_owned);
+                let is_current_open = self.current.is_some();
+                self.successor = match context.request(cause, last_event_id, is_current_open) {
+                    Ok(requested) => Successor::Requested(requested),
+                    Err(context) => Successor::NotRequested(context),
+                };
+            }
+            other => self.successor = other,
+        }
+        matches!(self.successor, Successor::Requested(_))
+    }
+
+    /// Gives up the stream at the other endpoint, as the current one goes on.
+    fn abandon_successor(&mut self, cx: &mut Context<'_>) {
+        self.successor = match std::mem::replace(&mut self.successor, Successor::None) {
+            Successor::Requested(mut requested) => {
+                requested.cancel();
+                match requested.poll(cx) {
+                    Poll::Ready((context, _)) => Successor::NotRequested(context),
+                    Poll::Pending => Successor::Requested(requested),
                 }
-                self.reset_stall_timer();
-                Poll::Ready(Some(Some(Ok(Frame::data(complete)))))
             }
-            Poll::Ready(Some(Err(e))) => {
-                let is_resuming = self.resume("the answer was cut off");
-                Poll::Ready((!is_resuming).then_some(Some(Err(e))))
+            Successor::Begun(begun) => begun.give_up("the first stream goes on"),
+            other => other,
+        };
+    }
+
+    /// Replaces the current stream, which closes its connection and stops the endpoint's work.
+    fn switch_to(&mut self, begun: BegunStream) {
+        let BegunStream {
+            body,
+            events,
+            mut context,
+            ..
+        } = begun;
+        context.adopt_last_endpoint();
+        self.current = Some(body);
+        self.events = events;
+        self.successor = Successor::NotRequested(context);
+        self.reset_stall_timer();
+    }
+
+    /// Handles the loss of the current stream. Returns an error for the client if the rest cannot be
+    /// requested elsewhere.
+    fn lose_current(&mut self, cause: &str, error: BodyError) -> Result<(), BodyError> {
+        self.current = None;
+        match std::mem::replace(&mut self.successor, Successor::None) {
+            Successor::Begun(begun) => {
+                self.switch_to(begun);
+                return Ok(());
             }
-            Poll::Ready(None) => {
-                self.source = Source::Ended;
-                let remainder = self.events.take_remainder();
-                Poll::Ready(Some(
-                    (!remainder.is_empty()).then(|| Ok(Frame::data(remainder))),
-                ))
+            // One that was cancelled ends without a stream; the next one is requested then.
+            Successor::Requested(requested) => {
+                self.successor = Successor::Requested(requested);
+                return Ok(());
             }
-            Poll::Pending => {
-                ready!(self.stall_timer.as_mut().poll(cx));
-                self.resume_stalled();
-                Poll::Ready(None)
+            other => self.successor = other,
+        }
+        match self.request_successor(cause) {
+            true => Ok(()),
+            false => {
+                self.successor = Successor::None;
+                Err(error)
             }
         }
     }
 
-    /// Handles received bytes without a complete event: the stream is polled again, after it was
-    /// resumed if it has stalled.
-    fn poll_stall(&mut self, cx: &mut Context<'_>) -> Poll<Option<NextFrame>> {
-        if self.stall_timer.as_mut().poll(cx).is_ready() {
-            self.resume_stalled();
+    /// Polls the current stream. `Pending` if it has no complete event or broke off.
+    fn poll_current(&mut self, cx: &mut Context<'_>) -> Poll<NextFrame> {
+        while let Some(body) = &mut self.current {
+            match ready!(Pin::new(body).poll_frame(cx)) {
+                Some(Ok(frame)) => {
+                    let data = frame.into_data().unwrap_or_default();
+                    let complete = self.events.push(&data);
+                    if self.events.partial_len() > MAX_EVENT_BYTES {
+                        const CAUSE: &str = "an event is too large";
+                        let error = BodyError::NotResumed(CAUSE);
+                        if let Err(e) = self.lose_current(CAUSE, error) {
+                            return Poll::Ready(Some(Err(e)));
+                        }
+                    } else if !complete.is_empty() {
+                        // Bytes of an incomplete event are no progress.
+                        self.abandon_successor(cx);
+                        self.reset_stall_timer();
+                        return Poll::Ready(Some(Ok(Frame::data(complete))));
+                    }
+                }
+                Some(Err(e)) => {
+                    if let Err(e) = self.lose_current("the answer was cut off", e) {
+                        return Poll::Ready(Some(Err(e)));
+                    }
+                }
+                None => return Poll::Ready(self.end()),
+            }
         }
-        Poll::Ready(None)
+        Poll::Pending
     }
 
-    /// Resumes a stalled stream elsewhere. One that may not be resumed stays open.
-    fn resume_stalled(&mut self) {
-        self.reset_stall_timer();
-        self.resume("the endpoint sends no events");
+    /// Ends the stream; returns the bytes after its last event.
+    fn end(&mut self) -> NextFrame {
+        self.current = None;
+        self.successor = Successor::None;
+        let remainder = self.events.take_remainder();
+        (!remainder.is_empty()).then(|| Ok(Frame::data(remainder)))
     }
-}
 
-impl ResumeContext {
-    fn take_retry(&self) -> bool {
-        let now = self.shared.now();
-        self.attempts.remaining > 0
-            && now < self.request.deadline
-            && self.shared.take_retry(now, &self.request.service)
+    /// Polls what may replace the current stream. Ready with `None` if the state has changed and all is to
+    /// be polled again.
+    fn poll_successor(&mut self, cx: &mut Context<'_>) -> Poll<Option<NextFrame>> {
+        match &mut self.successor {
+            Successor::NotRequested(_) => {
+                ready!(self.stall_timer.as_mut().poll(cx));
+                self.reset_stall_timer();
+                self.request_successor("the endpoint sends no events");
+                Poll::Ready(None)
+            }
+            Successor::Requested(requested) => {
+                let (context, outcome) = ready!(requested.poll(cx));
+                Poll::Ready(self.handle_outcome(context, outcome))
+            }
+            Successor::Begun(_) => self.poll_begun(cx),
+            Successor::None => Poll::Ready(Some(None)),
+        }
     }
 
-    /// Requests the rest of the stream from another endpoint.
-    async fn resume_after(
-        mut self: Box<Self>,
-        last_event_id: Option<String>,
-    ) -> (Box<Self>, Result<Body, Failure>) {
-        if let Some(id) = last_event_id {
-            let headers = &mut self.client_request.headers;
-            self.shared.dialect.set_last_event_id(headers, &id);
+    fn handle_outcome(
+        &mut self,
+        context: Box<ResumeContext>,
+        outcome: SuccessorOutcome,
+    ) -> Option<NextFrame> {
+        self.reset_stall_timer();
+        match outcome {
+            SuccessorOutcome::Begun(body) => {
+                let begun = BegunStream {
+                    body,
+                    events: self.events.successor(),
+                    context,
+                    overlap_timer: Box::pin(sleep(MAX_OVERLAP)),
+                };
+                match self.current {
+                    Some(_) => self.successor = Successor::Begun(begun),
+                    None => self.switch_to(begun),
+                }
+            }
+            SuccessorOutcome::Failed(failure) if self.current.is_none() => {
+                self.successor = Successor::None;
+                let error = BodyError::NotResumed(failure.reason());
+                return Some(Some(Err(error)));
+            }
+            SuccessorOutcome::Cancelled if self.current.is_none() => {
+                self.successor = Successor::NotRequested(context);
+                if !self.request_successor("the answer was cut off") {
+                    self.successor = Successor::None;
+                    let error = BodyError::NotResumed("the answer was cut off");
+                    return Some(Some(Err(error)));
+                }
+            }
+            SuccessorOutcome::Failed(_) | SuccessorOutcome::Cancelled => {
+                self.successor = Successor::NotRequested(context);
+            }
         }
-        self.request.waiting_since = self.shared.now();
-        let Self {
-            shared,
-            request,
-            client_request,
-            attempts,
-        } = self.as_mut();
-        let attempt_id = &request.metadata.attempt_id;
-        let resumed = match model::run_with_retries(shared, request, client_request, attempts).await
-        {
-            Ok(response) if relay::is_event_stream(response.status(), response.headers(), true) => {
-                info!("request={attempt_id} step=resume outcome=started");
-                shared.metrics.record_resume("started");
-                Ok(response.into_body())
-            }
-            Ok(response) => {
-                let status = response.status().as_u16();
-                info!("request={attempt_id} step=resume outcome=failed status={status}");
-                shared.metrics.record_resume("failed");
-                Err(Failure::Lost("the stream does not go on"))
-            }
-            Err(failure) => {
-                let reason = failure.reason();
-                info!("request={attempt_id} step=resume outcome=failed reason=\"{reason}\"");
-                shared.metrics.record_resume("failed");
-                Err(failure)
+        None
+    }
+
+    /// Polls the stream at the other endpoint, which replaces the current one with its first event.
+    fn poll_begun(&mut self, cx: &mut Context<'_>) -> Poll<Option<NextFrame>> {
+        let Successor::Begun(begun) = &mut self.successor else {
+            return Poll::Ready(None);
+        };
+        let failure = match Pin::new(&mut begun.body).poll_frame(cx) {
+            Poll::Ready(Some(Ok(frame))) => {
+                let data = frame.into_data().unwrap_or_default();
+                let complete = begun.events.push(&data);
+                if !complete.is_empty() {
+                    if let Successor::Begun(begun) =
+                        std::mem::replace(&mut self.successor, Successor::None)
+                    {
+                        self.switch_to(begun);
+                    }
+                    return Poll::Ready(Some(Some(Ok(Frame::data(complete)))));
+                }
+                if begun.events.partial_len() <= MAX_EVENT_BYTES {
+                    return Poll::Ready(None);
+                }
+                "an event is too large"
+            }
+            Poll::Ready(Some(Err(_))) => "the second stream was cut off",
+            // Nothing was left after the last event of the first stream.
+            Poll::Ready(None) => return Poll::Ready(Some(self.end())),
+            Poll::Pending => {
+                ready!(begun.overlap_timer.as_mut().poll(cx));
+                "the second stream sent no event in time"
             }
         };
-        (self, resumed)
+        if let Successor::Begun(begun) = std::mem::replace(&mut self.successor, Successor::None) {
+            self.successor = begun.give_up(failure);
+        }
+        self.reset_stall_timer();
+        Poll::Ready(None)
     }
 }
 
-type NextFrame = Option<Result<Frame<Bytes>, BodyError>>;
-
 impl hyper::body::Body for ResumableBody {
     type Data = Bytes;
     type Error = BodyError;
 
     fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<NextFrame> {
         loop {
-            match &mut self.source {
-                Source::Open(..) => {
-                    if let Some(next) = ready!(self.poll_open(cx)) {
-                        return Poll::Ready(next);
-                    }
-                }
-                Source::Resuming(future) => {
-                    let (context, resumed) = ready!(future.as_mut().poll(cx));
-                    self.reset_stall_timer();
-                    match resumed {
-                        Ok(body) => self.source = Source::Open(body, context),
-                        Err(failure) => {
-                            self.source = Source::Ended;
-                            let error = BodyError::NotResumed(failure.reason());
-                            return Poll::Ready(Some(Err(error)));
-                        }
-                    }
-                }
-                Source::Ended => return Poll::Ready(None),
+            if let Poll::Ready(next) = self.poll_current(cx) {
+                return Poll::Ready(next);
+            }
+            if let Some(next) = ready!(self.poll_successor(cx)) {
+                return Poll::Ready(next);
             }
         }
     }
--- a/crates/mimosa-hold/src/events.rs
+++ b/crates/mimosa-hold/src/events.rs
@@ -121,11 +121,14 @@
         self.partial.len()
     }
 
-    /// Discards the partial event when the stream resumes at another endpoint.
-    pub fn resume(&mut self) {
-        self.partial.clear();
-        self.scanner = EventScanner::default();
-        self.is_resumed = true;
+    /// A buffer for the rest of the stream from another endpoint: the partial event is discarded, and so are
+    /// events up to the last one.
+    #[must_use]
+    pub fn successor(&self) -> Self {
+        Self {
+            is_resumed: true,
+            ..Self::after(self.last_id.clone())
+        }
     }
 
     /// Takes the bytes after the last complete event, to forward them at the end of the stream.
--- a/crates/mimosa-hold/tests/events.rs
+++ b/crates/mimosa-hold/tests/events.rs
@@ -36,7 +36,7 @@
         eq(&(event(1) + &event(2)))
     );
     expect_that!(events.last_id(), some(eq("2")));
-    events.resume();
+    let mut events = events.successor();
     let rest = event(2) + &event(3) + &event(4);
     expect_that!(
         text(events.push(rest.as_bytes())),
@@ -49,7 +49,7 @@
 fn events_without_numeric_ids_are_always_forwarded() {
     let mut events = EventBuffer::default();
     events.push(b"id: a\ndata: x\n\n");
-    events.resume();
+    let mut events = events.successor();
     let next = "id: b\ndata: y\n\n";
     expect_that!(text(events.push(next.as_bytes())), eq(next));
     let without = "data: z\r\n\r\n";
