Do not take a pause of the client or the process for a silent endpoint

Cause: the stall timer runs while the stream is not polled, so its end says nothing of the endpoint.

Change: a timer that ends 100 ms late or more starts again for 250 ms, in which what arrived meanwhile is read.

--- a/crates/mimosa-gateway/src/resume.rs
+++ b/crates/mimosa-gateway/src/resume.rs
@@ -38,6 +38,12 @@
 /// Longest time for which two endpoints work on a request: less than the 400 ms after which a second
 /// run counts as running twice.
 const MAX_OVERLAP: Duration = Duration::from_millis(350);
+/// Delay of the stall timer from which on this process, or its client, may have been paused
+/// meanwhile, so that nothing shows whether the endpoint was silent.
+const PAUSE_DELAY: Duration = Duration::from_millis(100);
+/// Time after a pause in which events that arrived meanwhile are read.
+const CATCH_UP_TIME: Duration = Duration::from_millis(250);
+
 type NextFrame = Option<Result<Frame<Bytes>, BodyError>>;
 
 /// The rest of a stream at another endpoint.
@@ -98,9 +104,11 @@
 
 impl ResumableBody {
     fn reset_stall_timer(&mut self) {
-        self.stall_timer
-            .as_mut()
-            .reset(Instant::now() + self.stall_timeout);
+        self.set_stall_timer(Instant::now(), self.stall_timeout);
+    }
+
+    fn set_stall_timer(&mut self, now: Instant, time: Duration) {
+        self.stall_timer.as_mut().reset(now + time);
     }
 
     /// Requests the rest of the stream from another endpoint, if the request may run again. Returns
@@ -220,8 +228,7 @@
         match &mut self.successor {
             Successor::NotRequested(_) => {
                 ready!(self.stall_timer.as_mut().poll(cx));
-                self.reset_stall_timer();
-                self.request_successor("the endpoint sends no events");
+                self.handle_stall(Instant::now());
                 Poll::Ready(None)
             }
             Successor::Requested(requested) => {
@@ -233,6 +240,17 @@
         }
     }
 
+    /// Handles the end of the stall timer. One that ends late says nothing of the endpoint.
+    fn handle_stall(&mut self, now: Instant) {
+        let delay = now.saturating_duration_since(self.stall_timer.deadline());
+        if delay >= PAUSE_DELAY {
+            self.set_stall_timer(now, CATCH_UP_TIME);
+        } else {
+            self.set_stall_timer(now, self.stall_timeout);
+            self.request_successor("the endpoint sends no events");
+        }
+    }
+
     fn handle_outcome(
         &mut self,
         context: Box<ResumeContext>,
