Try another endpoint beside a slow one instead of ending its call

Callers saw: 504 for a safe request after a third of its time, although its endpoint would have answered, if no other endpoint took the request.

Cause: the limit of an attempt ended the call before it was known whether another endpoint is to be had.

Change: the call goes on while another endpoint is tried; the first answer that is no server error is delivered and the other call closed.

--- a/crates/mimosa-gateway/src/plain.rs
+++ b/crates/mimosa-gateway/src/plain.rs
@@ -1,6 +1,10 @@
 //! Requests to plain HTTP services.
 
+use std::future::poll_fn;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 
 use hyper::Response;
@@ -9,6 +13,7 @@
 use mimosa_protocol::AccountId;
 use mimosa_protocol::Timestamp;
 use mimosa_protocol::configuration::EndpointRole;
+use tokio::sync::oneshot;
 
 use crate::dialect::Step;
 use crate::directory::EndpointEntry;
@@ -27,84 +32,234 @@
 use crate::upstream;
 use crate::upstream::CallFailure;
 use crate::upstream::ClientRequest;
+use crate::upstream::Patience;
 
 /// Retry delay for clients when a service had no capacity; about the duration of one request.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(50);
-/// Timeout of an attempt that may be retried, as a multiple of the latency target.
-const ATTEMPT_TIMEOUT_TARGETS: u32 = 2;
+/// Time without a response after which another endpoint is tried, as a multiple of the latency target.
+const PATIENCE_TARGETS: u32 = 2;
 
 /// Maximum number of endpoints tried for one request, including unreachable ones.
 const MAX_ENDPOINTS: usize = 4;
 
-/// Sends a request to endpoints until one responds or no further attempt is allowed.
+/// Sends a request to endpoints until one responds or no further attempt is allowed. An attempt that takes
+/// long goes on while another endpoint is tried.
 pub(crate) async fn serve(
     shared: &Arc<Shared>,
     request: &IdentifiedRequest,
     client_request: &ClientRequest,
 ) -> Result<Response<Body>, Failure> {
-    let may_rerun = request.route.retry_policy.allows_rerun();
-    let max_attempts = request.route.max_attempts.max(1);
-    let mut tried: Vec<Arc<EndpointEntry>> = Vec::new();
-    let mut last = LastOutcome::NotAttempted;
-    // A request that could not be sent reached no endpoint and does not count as an attempt.
-    let mut attempts = 0;
-    let role = EndpointRole::Plain;
-    while attempts < max_attempts && tried.len() < MAX_ENDPOINTS {
-        let now = shared.now();
-        if now >= request.deadline {
-            break;
+    let mut attempts = Attempts::new(shared, request, client_request);
+    loop {
+        if attempts.may_start(shared.now()) {
+            attempts.start().await?;
         }
-        // The request may have been quarantined since it was admitted, or by its own attempts.
-        if let Err(failure) = shared.suspects.check(now, request, &client_request.parts) {
-            if matches!(last, LastOutcome::NotAttempted) {
-                return Err(failure);
+        match attempts.next_event().await {
+            None => break,
+            Some(AttemptEvent::Slow) => {}
+            Some(AttemptEvent::Ended(attempt, result)) => {
+                if let Some(response) = attempts.record_end(attempt, result) {
+                    return Ok(response);
+                }
             }
-            break;
+        }
+    }
+    let role = EndpointRole::Plain;
+    let retry_after = upstream::time_to_endpoint(shared, shared.now(), request, role);
+    let retry_after = retry_after.unwrap_or_default().max(BUSY_RETRY_AFTER);
+    attempts.last.into_result(retry_after)
+}
+
+type AttemptFuture<'a> =
+    Pin<Box<dyn Future<Output = Result<Response<Body>, CallFailure>> + Send + 'a>>;
+
+/// An attempt that has not ended. Dropping it closes its connection.
+struct OpenAttempt<'a> {
+    endpoint: Arc<EndpointEntry>,
+    permit: Option<TakenPermit>,
+    started: Timestamp,
+    future: AttemptFuture<'a>,
+}
+
+enum AttemptEvent<'a> {
+    /// The latest attempt takes so long that another endpoint is to be tried.
+    Slow,
+    Ended(OpenAttempt<'a>, Result<Response<Body>, CallFailure>),
+}
+
+/// The attempts of one request.
+struct Attempts<'a> {
+    shared: &'a Arc<Shared>,
+    request: &'a IdentifiedRequest,
+    client_request: &'a ClientRequest,
+    tried: Vec<Arc<EndpointEntry>>,
+    /// Attempts that reached an endpoint, or may still.
+    count: u32,
+    /// In the order in which they started.
+    open: Vec<OpenAttempt<'a>>,
+    /// Whether all open attempts take long.
+    is_slow: bool,
+    /// Told when the latest attempt takes long.
+    exceeded: Option<oneshot::Receiver<()>>,
+    /// Whether the request may have run and must not run again.
+    is_final: bool,
+    last: LastOutcome,
+}
+
+impl<'a> Attempts<'a> {
+    const fn new(
+        shared: &'a Arc<Shared>,
+        request: &'a IdentifiedRequest,
+        client_request: &'a ClientRequest,
+    ) -> Self {
+        Self {
+            shared,
+            request,
+            client_request,
+            tried: Vec::new(),
+            count: 0,
+            open: Vec::new(),
+            is_slow: true,
+            exceeded: None,
+            is_final: false,
+            last: LastOutcome::NotAttempted,
+        }
+    }
+
+    fn may_start(&self, now: Timestamp) -> bool {
+        self.is_slow
+            && !self.is_final
+            && self.count < self.request.route.max_attempts.max(1)
+            && self.tried.len() < MAX_ENDPOINTS
+            && now < self.request.deadline
+    }
+
+    /// Starts an attempt at another endpoint, if one takes it and the retry budget covers it.
+    ///
+    /// # Errors
+    ///
+    /// If the request was quarantined since it was admitted and was not attempted.
+    async fn start(&mut self) -> Result<(), Failure> {
+        let (shared, request) = (self.shared, self.request);
+        let now = shared.now();
+        // Its own attempts may have led to the quarantine as well.
+        let suspects = &shared.suspects;
+        if let Err(failure) = suspects.check(now, request, &self.client_request.parts) {
+            let is_attempted = !self.open.is_empty() || self.last.is_attempted();
+            self.is_final = true;
+            return if is_attempted { Ok(()) } else { Err(failure) };
         }
         let endpoints = shared.directory.endpoints();
-        let selected = select_endpoint(shared, now, &endpoints, request, &tried).await;
+        let selected = select_endpoint(shared, now, &endpoints, request, &self.tried).await;
         let Some(Selected { endpoint, permit }) = selected else {
-            break;
+            return Ok(());
         };
-        if attempts > 0 && !shared.take_retry(now, &request.service) {
+        if self.count > 0 && !shared.take_retry(now, &request.service) {
             info!(
                 "request={} step=retry outcome=refused reason=\"no retry budget\"",
                 request.metadata.attempt_id
             );
             give_back(shared, permit);
-            break;
+            return Ok(());
         }
-        tried.push(Arc::clone(&endpoint));
-        let time_limit = attempt_timeout(request, now, may_rerun && attempts + 1 < max_attempts);
-        match attempt(shared, request, client_request, &endpoint, time_limit).await {
-            Ok(response) if may_rerun && response.status().is_server_error() => {
-                log_response(request, now, &endpoint, response.status(), tried.len());
-                attempts += 1;
-                last = LastOutcome::Response(response);
+        self.tried.push(Arc::clone(&endpoint));
+        self.count += 1;
+        self.is_slow = false;
+        let patience = self.patience(now).map(|time| {
+            let (tx, rx) = oneshot::channel();
+            self.exceeded = Some(rx);
+            Patience { time, exceeded: tx }
+        });
+        self.open.push(OpenAttempt {
+            future: Box::pin(attempt(
+                shared,
+                request,
+                self.client_request,
+                Arc::clone(&endpoint),
+                patience,
+            )),
+            endpoint,
+            permit,
+            started: now,
+        });
+        Ok(())
+    }
+
+    /// Time without a response after which another endpoint is tried beside the latest one; `None` if
+    /// there may be no further attempt.
+    fn patience(&self, now: Timestamp) -> Option<Duration> {
+        let request = self.request;
+        let may_rerun = request.route.retry_policy.allows_rerun();
+        let time_left = request.time_left(now);
+        let patience = request.route.latency_target * PATIENCE_TARGETS;
+        (may_rerun && self.count < request.route.max_attempts)
+            .then(|| patience.max(time_left / 3).min(time_left))
+    }
+
+    /// Waits for the end of an open attempt, or until the latest one takes long; `None` without any.
+    async fn next_event(&mut self) -> Option<AttemptEvent<'a>> {
+        poll_fn(|cx| {
+            if self.open.is_empty() {
+                return Poll::Ready(None);
             }
+            for at in 0..self.open.len() {
+                if let Poll::Ready(result) = self.open[at].future.as_mut().poll(cx) {
+                    let attempt = self.open.remove(at);
+                    // The others take long, or the latest one would not have been started.
+                    self.is_slow |= at == self.open.len();
+                    return Poll::Ready(Some(AttemptEvent::Ended(attempt, result)));
+                }
+            }
+            if let Some(exceeded) = &mut self.exceeded {
+                let is_exceeded = ready!(Pin::new(exceeded).poll(cx)).is_ok();
+                self.exceeded = None;
+                if is_exceeded {
+                    self.is_slow = true;
+                    return Poll::Ready(Some(AttemptEvent::Slow));
+                }
+            }
+            Poll::Pending
+        })
+        .await
+    }
+
+    /// Records the end of an attempt. Returns the response if it is the one for the client.
+    fn record_end(
+        &mut self,
+        attempt: OpenAttempt<'a>,
+        result: Result<Response<Body>, CallFailure>,
+    ) -> Option<Response<Body>> {
+        let OpenAttempt {
+            endpoint,
+            permit,
+            started,
+            ..
+        } = attempt;
+        let may_rerun = self.request.route.retry_policy.allows_rerun();
+        match result {
             Ok(response) => {
-                log_response(request, now, &endpoint, response.status(), tried.len());
-                return Ok(response);
+                let tried = self.tried.len();
+                log_response(self.request, started, &endpoint, response.status(), tried);
+                if !may_rerun || !response.status().is_server_error() {
+                    return Some(response);
+                }
+                self.last = LastOutcome::Response(response);
             }
             Err(failure) => {
-                attempts += u32::from(failure != CallFailure::NotSent);
                 info!(
-                    "request={} step=call outcome={failure:?} endpoint={} attempt={attempts}",
-                    request.metadata.attempt_id, endpoint.listed.id
+                    "request={} step=call outcome={failure:?} endpoint={} attempt={}",
+                    self.request.metadata.attempt_id, endpoint.listed.id, self.count
                 );
                 if failure == CallFailure::NotSent {
-                    give_back(shared, permit);
-                }
-                last.replace(failure);
-                if !failure.has_not_run() && !may_rerun {
-                    break;
+                    self.count -= 1;
+                    give_back(self.shared, permit);
                 }
+                self.last.replace(failure);
+                self.is_final |= !failure.has_not_run() && !may_rerun;
             }
         }
+        None
     }
-    let retry_after = upstream::time_to_endpoint(shared, shared.now(), request, role);
-    let retry_after = retry_after.unwrap_or_default().max(BUSY_RETRY_AFTER);
-    last.into_result(retry_after)
 }
 
 /// Selects an endpoint that was not tried yet; `None` if there is no usable one. While a rollout of the
@@ -168,6 +323,10 @@
 }
 
 impl LastOutcome {
+    const fn is_attempted(&self) -> bool {
+        !matches!(self, Self::NotAttempted)
+    }
+
     fn replace(&mut self, failure: CallFailure) {
         match self {
             Self::NotAttempted => *self = Self::Failed(failure),
@@ -197,38 +356,27 @@
     }
 }
 
-/// Timeout of one attempt. It leaves time for another attempt if one may follow.
-fn attempt_timeout(request: &IdentifiedRequest, now: Timestamp, may_retry: bool) -> Duration {
-    let time_left = request.time_left(now);
-    if may_retry {
-        let timeout = request.route.latency_target * ATTEMPT_TIMEOUT_TARGETS;
-        timeout.max(time_left / 3).min(time_left)
-    } else {
-        time_left
-    }
-}
-
 async fn attempt(
     shared: &Arc<Shared>,
     request: &IdentifiedRequest,
     client_request: &ClientRequest,
-    endpoint: &Arc<EndpointEntry>,
-    time_limit: Duration,
+    endpoint: Arc<EndpointEntry>,
+    patience: Option<Patience>,
 ) -> Result<Response<Body>, CallFailure> {
     let tracked = TrackedRun::new(request, client_request);
     let sent = shared.now();
-    let upstream_response = upstream::call(
+    let upstream_response = upstream::call_with_patience(
         shared,
-        request,
-        client_request,
-        endpoint,
+        (request, client_request),
+        &endpoint,
         Step::Full,
-        time_limit,
+        request.time_left(sent),
+        patience,
     )
     .await
     .inspect_err(|failure| {
         if *failure == upstream::CONNECTION_LOST {
-            tracked.report_lost(shared, endpoint, sent);
+            tracked.report_lost(shared, &endpoint, sent);
         }
     })?;
     let versioned = upstream_response.versioned.clone();
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -1,5 +1,6 @@
 //! Endpoint selection and single calls to endpoints.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -30,6 +31,7 @@
 use mimosa_schedule::pick::Candidate;
 use mimosa_schedule::pick::pick;
 use mimosa_transport::status;
+use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use crate::connection::Connection;
@@ -250,6 +252,13 @@
     }
 }
 
+/// How long a call may take before another endpoint is tried beside it.
+pub(crate) struct Patience {
+    pub(crate) time: Duration,
+    /// Told when the time has passed without a response head. The call goes on.
+    pub(crate) exceeded: oneshot::Sender<()>,
+}
+
 /// Sends a request to an endpoint and waits up to `time_limit` for the response head.
 pub(crate) async fn call(
     shared: &Shared,
@@ -259,7 +268,21 @@
     step: Step,
     time_limit: Duration,
 ) -> Result<UpstreamResponse, CallFailure> {
-    let result = call_once(shared, request, client_request, endpoint, step, time_limit).await;
+    let call = (request, client_request);
+    call_with_patience(shared, call, endpoint, step, time_limit, None).await
+}
+
+/// The same, and reports a response head that takes longer than the caller's patience.
+pub(crate) async fn call_with_patience(
+    shared: &Shared,
+    (request, client_request): (&IdentifiedRequest, &ClientRequest),
+    endpoint: &Arc<EndpointEntry>,
+    step: Step,
+    time_limit: Duration,
+    patience: Option<Patience>,
+) -> Result<UpstreamResponse, CallFailure> {
+    let call = (request, client_request);
+    let result = call_once(shared, call, endpoint, step, time_limit, patience).await;
     let outcome = match &result {
         Ok(_) => "answered",
         Err(CallFailure::NotSent) => "not_sent",
@@ -275,26 +298,21 @@
 
 async fn call_once(
     shared: &Shared,
-    request: &IdentifiedRequest,
-    client_request: &ClientRequest,
+    (request, client_request): (&IdentifiedRequest, &ClientRequest),
     endpoint: &Arc<EndpointEntry>,
     step: Step,
     time_limit: Duration,
+    patience: Option<Patience>,
 ) -> Result<UpstreamResponse, CallFailure> {
     let now = shared.now();
     let in_flight = InFlightGuard::new(endpoint, request.body_size());
-    let versioned = shared.rollouts.track(now, request, endpoint, &step);
-    let record = |outcome| {
-        if let Some(versioned) = &versioned {
-            versioned.record(shared, outcome);
-        }
-    };
+    let mut versioned = shared.rollouts.track(now, request, endpoint, &step);
     let service = request.table.service(&request.service);
     let mut connection = match endpoint.pool.take(now, max_connections(service)).await {
         Ok(connection) => connection,
         Err(PoolError::Refused | PoolError::Unreachable) => {
             endpoint.health().record_unreachable(shared.now());
-            record(CallOutcome::Failed);
+            record_version(shared, versioned, CallOutcome::Failed);
             return Err(CallFailure::NotSent);
         }
         Err(PoolError::LimitReached) => return Err(CallFailure::NotSent),
@@ -313,19 +331,38 @@
         step.clone(),
         sent,
     );
-    let result = timeout(time_limit, connection.send(outgoing)).await;
+    let result = {
+        let mut sending = pin!(connection.send(outgoing));
+        let early = match patience {
+            Some(patience) if patience.time < time_limit => {
+                let early = timeout(patience.time, &mut sending).await;
+                if early.is_err() {
+                    endpoint.health().record_failure(shared.now());
+                    // The failure is the call's outcome for the comparison of versions.
+                    record_version(shared, versioned.take(), CallOutcome::Failed);
+                    patience.exceeded.send(()).ok();
+                }
+                early.ok()
+            }
+            _ => None,
+        };
+        match early {
+            Some(result) => Ok(result),
+            None => timeout((sent + time_limit).since(shared.now()), sending).await,
+        }
+    };
     let now = shared.now();
     let response = match result {
         Ok(Ok(response)) => response,
         Ok(Err(e)) if e.is_canceled() => return Err(CallFailure::NotSent),
         Ok(Err(_)) => {
             endpoint.health().record_unreachable(now);
-            record(CallOutcome::Failed);
+            record_version(shared, versioned, CallOutcome::Failed);
             return Err(CONNECTION_LOST);
         }
         Err(_) => {
             endpoint.health().record_failure(now);
-            record(CallOutcome::Failed);
+            record_version(shared, versioned, CallOutcome::Failed);
             return Err(CallFailure::TimedOut);
         }
     };
@@ -363,17 +400,23 @@
         }),
         ResponseClass::NotRun => {
             endpoint.health().record_failure(now);
-            record(CallOutcome::Refused);
+            record_version(shared, versioned, CallOutcome::Refused);
             Err(CallFailure::NotRun)
         }
         ResponseClass::Unverified => {
             endpoint.health().record_failure(now);
-            record(CallOutcome::Failed);
+            record_version(shared, versioned, CallOutcome::Failed);
             Err(CallFailure::Unknown("the answer is not the endpoint's own"))
         }
     }
 }
 
+fn record_version(shared: &Shared, versioned: Option<VersionedCall>, outcome: CallOutcome) {
+    if let Some(versioned) = versioned {
+        versioned.record(shared, outcome);
+    }
+}
+
 /// Records what an endpoint asks of its senders.
 fn record_advice(
     shared: &Shared,
