Give a slow prefill up only if another endpoint can be tried

Callers saw: with one prefill endpoint, a prompt whose prefill took more than 0.6 of the latency target was read twice there; without a retry in the budget the request was refused.

Cause: as for plain services, the limit on silence ended the call before it was known whether another endpoint is to be had. Besides, the limit counted the head and the body of the answer apart.

Change: the call is given up only if another endpoint takes prefills and the budget covers the retry; head and body end with the request's time.

--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -1,5 +1,6 @@
 //! Requests to language models: prefill at one endpoint, decode at another.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,6 +23,7 @@
 use mimosa_schedule::fleet::PlacementRequest;
 use mimosa_schedule::fleet::RunEnd;
 use mimosa_schedule::fleet::StreamVersion;
+use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use crate::dialect::KvSource;
@@ -44,6 +46,7 @@
 use crate::upstream;
 use crate::upstream::CallFailure;
 use crate::upstream::ClientRequest;
+use crate::upstream::Patience;
 
 mod local;
 
@@ -59,10 +62,10 @@
 /// unreachable.
 const MAX_PLACEMENTS: u32 = 3;
 
-/// Timeout of the first prefill, in thousandths of the latency target, after which another endpoint
-/// is tried while the target can still be met. Abandoning a prefill is safe, because a prefill
-/// alone does not execute the request.
-const FIRST_PREFILL_TIMEOUT_PERMILLE: u32 = 600;
+/// Time without an answer to the first prefill, in thousandths of the latency target, after which
+/// another endpoint is tried while the target can still be met. Abandoning a prefill is safe, because
+/// a prefill alone does not execute the request.
+const FIRST_PREFILL_PATIENCE_PERMILLE: u32 = 600;
 
 /// Endpoints assigned to a request, and its run as known to the leader.
 struct Assignment {
@@ -198,22 +201,13 @@
         run,
     } = assignment;
     if let Some(endpoint) = prefill_endpoint {
-        let max_duration = if attempts.tried.is_empty() {
-            request.route.latency_target * FIRST_PREFILL_TIMEOUT_PERMILLE / 1_000
+        let patience = if attempts.tried.is_empty() {
+            request.route.latency_target * FIRST_PREFILL_PATIENCE_PERMILLE / 1_000
         } else {
             Duration::MAX
         };
         let sent = shared.now();
-        match prefill(
-            shared,
-            request,
-            client_request,
-            &endpoint,
-            &run,
-            max_duration,
-        )
-        .await
-        {
+        match prefill(shared, request, client_request, &endpoint, &run, patience).await {
             Ok(lease) => attempts.kv_cache = Some(lease),
             Err(failure) => {
                 if failure.is_disconnect() {
@@ -529,17 +523,35 @@
         .max(gap)
 }
 
-/// Runs the prefill and reports its duration to the leader.
+/// Runs the prefill and reports its duration to the leader. One that takes longer than `patience` is given up
+/// if another endpoint can be tried.
 async fn prefill(
     shared: &Arc<Shared>,
     request: &IdentifiedRequest,
     client_request: &ClientRequest,
     endpoint: &Arc<EndpointEntry>,
     run: &PlacedRun,
-    max_duration: Duration,
+    patience: Duration,
 ) -> Result<KvCacheLease, CallFailure> {
     let started = shared.now();
-    let lease = call_prefill(shared, request, client_request, endpoint, max_duration).await;
+    let (tx, exceeded) = oneshot::channel();
+    let patience = Patience {
+        time: patience,
+        exceeded: tx,
+    };
+    let call = call_prefill(shared, request, client_request, endpoint, patience);
+    let mut call = pin!(call);
+    let lease = tokio::select! {
+        biased;
+        lease = &mut call => lease,
+        Ok(()) = exceeded => match may_prefill_elsewhere(shared, request, endpoint) {
+            true => {
+                shared.metrics.record_call(request.service.as_str(), "timed_out");
+                Err(CallFailure::TimedOut)
+            }
+            false => call.await,
+        },
+    };
     match &lease {
         Ok(_) => run.report_prefilled(shared.now().since(started)),
         Err(failure) => info!(
@@ -550,21 +562,34 @@
     lease
 }
 
+/// Whether another endpoint may be asked for the prefill: one takes it, and the retry budget covers it.
+fn may_prefill_elsewhere(
+    shared: &Shared,
+    request: &IdentifiedRequest,
+    endpoint: &Arc<EndpointEntry>,
+) -> bool {
+    let now = shared.now();
+    let endpoints = shared.directory.endpoints();
+    let role = EndpointRole::Prefill;
+    let tried = std::slice::from_ref(endpoint);
+    let others = upstream::usable_endpoints(shared, now, &endpoints, request, role, tried);
+    !others.is_empty() && shared.covers_retry(now, &request.service)
+}
+
 async fn call_prefill(
     shared: &Arc<Shared>,
     request: &IdentifiedRequest,
     client_request: &ClientRequest,
     endpoint: &Arc<EndpointEntry>,
-    max_duration: Duration,
+    patience: Patience,
 ) -> Result<KvCacheLease, CallFailure> {
-    let time_limit = request.time_left(shared.now()).min(max_duration);
-    let upstream_response = upstream::call(
+    let upstream_response = upstream::call_with_patience(
         shared,
-        request,
-        client_request,
+        (request, client_request),
         endpoint,
         Step::Prefill,
-        time_limit,
+        request.time_left(shared.now()),
+        Some(patience),
     )
     .await?;
     let sent = upstream_response.sent;
@@ -573,7 +598,7 @@
         upstream_response.response.into_body(),
         MAX_KV_RESPONSE_BYTES,
     );
-    let body = timeout(time_limit, body.collect()).await;
+    let body = timeout(request.time_left(shared.now()), body.collect()).await;
     let now = shared.now();
     let Ok(Ok(body)) = body else {
         endpoint.health().record_unreachable(now);
--- a/crates/mimosa-gateway/src/shared.rs
+++ b/crates/mimosa-gateway/src/shared.rs
@@ -237,6 +237,11 @@
         allowed
     }
 
+    /// Whether the budget covers a retry now.
+    pub(crate) fn covers_retry(&self, now: Timestamp, service: &ServiceId) -> bool {
+        self.with_retry_budget(now, service, |budget| budget.covers_retry(now))
+    }
+
     fn with_retry_budget<T>(
         &self,
         now: Timestamp,
--- a/crates/mimosa-hold/src/retry.rs
+++ b/crates/mimosa-hold/src/retry.rs
@@ -72,14 +72,19 @@
 
     /// Withdraws one retry if the balance covers it. Returns whether it did.
     pub fn try_withdraw(&mut self, now: Timestamp) -> bool {
-        self.refill(now);
-        let enough = self.balance_milli >= MILLI_PER_RETRY;
+        let enough = self.covers_retry(now);
         if enough {
             self.balance_milli -= MILLI_PER_RETRY;
         }
         enough
     }
 
+    /// Whether the balance covers a retry.
+    pub fn covers_retry(&mut self, now: Timestamp) -> bool {
+        self.refill(now);
+        self.balance_milli >= MILLI_PER_RETRY
+    }
+
     fn add(&mut self, amount_milli: u64) {
         self.balance_milli =
             (self.balance_milli + amount_milli).min(self.settings.max_balance * MILLI_PER_RETRY);
