Count silence, not time, for answers that an entry collects

Callers saw: 504 for a recorded call that had run and 502 for a completion in one piece, if the body took longer than endpoint_silence although it arrived without a pause.

Cause: the limit bounded the whole body. A stream that was silent before its first event was also taken for a broken connection and its endpoint for down.

Change: the limit counts the time without a byte; a silent first event is a timeout.

--- a/crates/mimosa-entry/src/plain.rs
+++ b/crates/mimosa-entry/src/plain.rs
@@ -1,6 +1,7 @@
 //! Requests to plain services. Requests whose method is not idempotent are sent at most once.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use axum::body::Body;
 use axum::http::HeaderMap;
@@ -16,6 +17,7 @@
 use axum::http::header::UPGRADE;
 use axum::response::Response;
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -43,6 +45,7 @@
 use mimosa_protocol::message::RecordedAnswer;
 use mimosa_schedule::AttemptEnd;
 use mimosa_schedule::Submission;
+use tokio::time::timeout;
 
 use crate::access::Caller;
 use crate::access::authorise;
@@ -247,9 +250,9 @@
             engine_response,
             call,
         } = answered;
-        let body = Limited::new(engine_response.body, MAX_RECORDED_BYTES).collect();
-        let time_limit = self.shared.settings.limits.endpoint_silence;
-        let Ok(body) = tokio::time::timeout(time_limit, body).await else {
+        let body = Limited::new(engine_response.body, MAX_RECORDED_BYTES);
+        let silence = self.shared.settings.limits.endpoint_silence;
+        let Some(body) = collect(body, silence).await else {
             intent.end(LedgerEnd::Unknown);
             attempt.end(AttemptEnd::Failed);
             return Err(Refusal::unknown(RefusalReason::Timeout));
@@ -276,7 +279,7 @@
             content_type: content_type
                 .and_then(|value| value.to_str().ok())
                 .map(str::to_owned),
-            body: body.to_bytes().to_vec(),
+            body: body.to_vec(),
         };
         intent.end(LedgerEnd::Answered(recorded.clone()));
         Ok(self.recorded_response(recorded, holder))
@@ -476,3 +479,18 @@
     *response.headers_mut() = headers;
     response
 }
+
+/// The whole body; `None` if nothing of it arrives for a time.
+async fn collect<B>(mut body: B, silence: Duration) -> Option<Result<Bytes, B::Error>>
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin,
+{
+    let mut collected = BytesMut::new();
+    loop {
+        match timeout(silence, body.frame()).await.ok()? {
+            Some(Ok(frame)) => collected.extend_from_slice(&frame.into_data().unwrap_or_default()),
+            Some(Err(e)) => return Some(Err(e)),
+            None => return Some(Ok(collected.freeze())),
+        }
+    }
+}
--- a/crates/mimosa-entry/src/relay.rs
+++ b/crates/mimosa-entry/src/relay.rs
@@ -17,6 +17,7 @@
 
 use crate::admission::Reservation;
 use crate::attempt::Attempt;
+use crate::engine::EngineFailure;
 use crate::metrics::RequestRecord;
 use crate::problem;
 use crate::sse::Scanner;
@@ -56,12 +57,19 @@
 }
 
 impl Relay {
-    /// Reads the first events; `None` if the stream ends or fails before one. Until the first event
-    /// is relayed, the request can still be retried at another endpoint.
-    pub(crate) async fn first_chunk(&mut self) -> Option<Bytes> {
+    /// Reads the first events. Until they are relayed, the request can still be retried at another
+    /// endpoint.
+    ///
+    /// # Errors
+    ///
+    /// If the stream ends or fails before one. An endpoint that is silent is not taken for lost.
+    pub(crate) async fn first_chunk(&mut self) -> Result<Bytes, EngineFailure> {
         match self.next_event().await {
-            StreamEvent::Bytes(bytes) => Some(bytes),
-            StreamEvent::End | StreamEvent::Broken | StreamEvent::Failed(_) => None,
+            StreamEvent::Bytes(bytes) => Ok(bytes),
+            StreamEvent::Failed(RefusalReason::Timeout) => Err(EngineFailure::TIMED_OUT),
+            StreamEvent::End | StreamEvent::Broken | StreamEvent::Failed(_) => {
+                Err(EngineFailure::DISCONNECTED)
+            }
         }
     }
 
--- a/crates/mimosa-entry/src/route/completions.rs
+++ b/crates/mimosa-entry/src/route/completions.rs
@@ -1,6 +1,7 @@
 //! `POST /v1/chat/completions` and `POST /v1/completions`
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use axum::Extension;
 use axum::body::Body;
@@ -31,6 +32,8 @@
 use mimosa_schedule::Submission;
 use mimosa_transport::reserved_buffer::ReservedBuffer;
 use serde::de::IgnoredAny;
+use tokio::time::error::Elapsed;
+use tokio::time::timeout;
 
 use crate::access::Caller;
 use crate::access::authorise;
@@ -365,19 +368,21 @@
         is_sound: false,
         reported_output: Tokens::ZERO,
     };
-    let Some(first) = relay.first_chunk().await else {
-        admitted.reservation = relay.reservation.take();
-        relay.record.is_recorded = true;
-        let attempt = relay
-            .attempt
-            .take()
-            .expect("a relay that returned no chunk still has its attempt");
-        let failed =
-            attempt.record_failure(EngineFailure::DISCONNECTED, &attempt.endpoint().clone());
-        count_wasted_prefill(admitted, &attempt);
-        attempt.check_for_crash(&failed).await;
-        attempt.release_and_end(AttemptEnd::Failed).await;
-        return Err(failed);
+    let first = match relay.first_chunk().await {
+        Ok(first) => first,
+        Err(failure) => {
+            admitted.reservation = relay.reservation.take();
+            relay.record.is_recorded = true;
+            let attempt = relay
+                .attempt
+                .take()
+                .expect("a relay that returned no chunk still has its attempt");
+            let failed = attempt.record_failure(failure, &attempt.endpoint().clone());
+            count_wasted_prefill(admitted, &attempt);
+            attempt.check_for_crash(&failed).await;
+            attempt.release_and_end(AttemptEnd::Failed).await;
+            return Err(failed);
+        }
     };
     let content_type = content_type(&engine_response.headers, "text/event-stream");
     let body = relay.into_body(first);
@@ -392,11 +397,10 @@
     engine_response: EngineResponse,
 ) -> Result<Response, AttemptFailure> {
     let mut record = admitted.request_record(attempt.endpoint());
-    let timeout = admitted.shared.settings.limits.endpoint_silence;
+    let silence = admitted.shared.settings.limits.endpoint_silence;
     let buffer = admitted.take_response_buffer();
-    let collecting = collect_body(buffer, engine_response.body);
-    let failure = match tokio::time::timeout(timeout, collecting).await {
-        Ok(Some(response)) if is_json_document(response.as_slice()) => {
+    let failure = match collect_body(buffer, engine_response.body, silence).await {
+        Ok(response) if is_json_document(response.as_slice()) => {
             finish(admitted, attempt, &mut record, response.as_slice());
             let content_type = content_type(&engine_response.headers, "application/json");
             admitted.connection.start_reading(response.reservation());
@@ -405,7 +409,7 @@
         }
         // A body without a length is whole only if its document is.
         Ok(_) => EngineFailure::DISCONNECTED,
-        Err(_) => EngineFailure::TIMED_OUT,
+        Err(failure) => failure,
     };
     record.is_recorded = true;
     let failed = attempt.record_failure(failure, &attempt.endpoint().clone());
@@ -415,24 +419,38 @@
     Err(failed)
 }
 
-/// The whole body; `None` if it is too large or breaks off. While the account is full, it is not read on. Memory
-/// of the declared length is reserved at once, so that responses do not wait for each other with half of it.
-async fn collect_body(mut buffer: ReservedBuffer, mut body: Body) -> Option<ReservedBuffer> {
+/// The whole body, unless it is too large, breaks off, or nothing of it arrives for a time. While the account is
+/// full, it is not read on for as long. Memory of the declared length is reserved at once, so that responses do
+/// not wait for each other with half of it.
+async fn collect_body(
+    mut buffer: ReservedBuffer,
+    mut body: Body,
+    silence: Duration,
+) -> Result<ReservedBuffer, EngineFailure> {
     let declared = body.size_hint().exact().unwrap_or(0);
     if declared > MAX_RESPONSE_BYTES as u64 {
-        return None;
+        return Err(EngineFailure::DISCONNECTED);
     }
-    buffer.reserve(declared as usize).await.ok()?;
-    while let Some(frame) = body.frame().await {
-        let frame = frame.ok()?;
+    let reserved = timeout(silence, buffer.reserve(declared as usize)).await;
+    check_in_time(reserved)?;
+    while let Some(frame) = check_silence(timeout(silence, body.frame()).await)? {
+        let frame = frame.map_err(|_| EngineFailure::DISCONNECTED)?;
         if let Some(data) = frame.data_ref() {
             if buffer.len() + data.len() > MAX_RESPONSE_BYTES {
-                return None;
+                return Err(EngineFailure::DISCONNECTED);
             }
-            buffer.push(data).await.ok()?;
+            check_in_time(timeout(silence, buffer.push(data)).await)?;
         }
     }
-    Some(buffer)
+    Ok(buffer)
+}
+
+fn check_silence<T>(ended: Result<T, Elapsed>) -> Result<T, EngineFailure> {
+    ended.map_err(|_| EngineFailure::TIMED_OUT)
+}
+
+fn check_in_time<T, E>(ended: Result<Result<T, E>, Elapsed>) -> Result<T, EngineFailure> {
+    check_silence(ended)?.map_err(|_| EngineFailure::DISCONNECTED)
 }
 
 fn new_response_buffer(connection: &Connection, account: Option<&ClientAccount>) -> ReservedBuffer {
--- a/crates/mimosa-entry/tests/callers/main.rs
+++ b/crates/mimosa-entry/tests/callers/main.rs
@@ -15,5 +15,6 @@
 mod refusals;
 mod services;
 mod shutdown;
+mod slow_bodies;
 mod slow_readers;
 mod truncation;
