Grant no second burst if a document comes just after the election

Cause: the first document that a leader sees was taken for the first one that there ever was if it is of the leader's own term.

Change: each instance notes the place of the first document in the log; a leader takes the accounts for charged if that is before its term.

--- a/crates/mimosa-control/src/routing/dispatch.rs
+++ b/crates/mimosa-control/src/routing/dispatch.rs
@@ -613,9 +613,11 @@
             });
             inner.rollouts_index = Some(rollouts_index);
         }
-        // The first configuration of a new leader, whose predecessor has already charged quotas.
-        let is_takeover =
-            inner.routing_index.is_none() && routing_index > 0 && routing_index < inner.leads_from;
+        // A predecessor has already charged quotas: of the accounts of its documents, of which the first one
+        // that this leader sees may be a successor.
+        let is_first = inner.routing_index.is_none();
+        let is_takeover = routing_index < inner.leads_from
+            || (is_first && self.shared.had_document_before(inner.leads_from));
         if inner.routing_index != Some(routing_index) {
             let (document, data_centres_out) = self.shared.read(|machine| {
                 let routing = machine.routing();
