--- a/crates/mimosa-gateway/src/serve.rs
+++ b/crates/mimosa-gateway/src/serve.rs
@@ -144,7 +144,10 @@
     let body = body::read(shared, connection, owner, body, limits).await?;
     let body_bytes = body.len() as u64;
     identified.body_bytes.store(body_bytes, Ordering::Relaxed);
-    let is_model = identified.route.retry_policy.is_stream();
+    let is_stream = identified.route.retry_policy.is_stream();
+    // Plain services may send streams as well.
+    let service = identified.table.service(&identified.service);
+    let is_model = is_stream && service.is_some_and(|service| service.engine.is_some());
     let parts = part_quarantine::request_parts(identified, &head.uri, &body);
     let client_request = ClientRequest {
         method: head.method,
@@ -154,8 +157,10 @@
         parts: Arc::new(parts),
     };
     shared.count_request(shared.now(), &identified.service);
-    if is_model {
+    if is_stream {
         connection.expect_stream();
+    }
+    if is_model {
         model::serve(shared, identified, &client_request).await
     } else {
         // A rejected request is not charged to the quota.
