Keep what an endpoint asked for with its process, not with its entry

Cause: a changed entry got a copy of the state of the process; a call that had begun under the old entry recorded the advice there.

Change: all entries for the same process share one state.

--- a/crates/mimosa-gateway/src/directory.rs
+++ b/crates/mimosa-gateway/src/directory.rs
@@ -8,17 +8,12 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
 use log::info;
 use log::warn;
-use mimosa_protocol::ByteSize;
 use mimosa_protocol::DataCentreId;
 use mimosa_protocol::EndpointId;
 use mimosa_protocol::InstanceId;
@@ -39,14 +34,15 @@
 use mimosa_route::sync::ListParts;
 use mimosa_route::sync::ListTracker;
 use mimosa_route::sync::UpdateAction;
-use mimosa_schedule::cold::ColdStart;
-use mimosa_schedule::health::Health;
-use mimosa_schedule::rate_limit::RateLimit;
 use tokio::sync::Notify;
 
 use crate::connection::EndpointSockets;
-use crate::connection::Pool;
-use crate::dialect::ReportedLoad;
+
+mod endpoint;
+
+pub(crate) use self::endpoint::EndpointEntry;
+pub(crate) use self::endpoint::InFlightGuard;
+use self::endpoint::is_same_lifetime;
 
 /// Current routing state. Routes, endpoints and data centres out of service are read without a
 /// lock.
@@ -85,11 +81,6 @@
     }
 }
 
-/// Whether two entries of the list with the same identifier mean the same process.
-fn is_same_lifetime(one: &ListedEndpoint, other: &ListedEndpoint) -> bool {
-    one.started_at_ms == other.started_at_ms && one.address == other.address
-}
-
 /// A control instance in a term in which it leads. In another term it knows nothing of requests that it
 /// queued in this one.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -124,118 +115,6 @@
     active: HashMap<ServiceId, HashMap<EndpointRole, Vec<Arc<EndpointEntry>>>>,
 }
 
-/// An endpoint lifetime with the state that this gateway tracks for it.
-pub(crate) struct EndpointEntry {
-    pub(crate) listed: ListedEndpoint,
-    cold: Mutex<ColdStart>,
-    pub(crate) pool: Pool,
-    /// Requests of this gateway in flight at the endpoint.
-    pub(crate) in_flight: Arc<AtomicU32>,
-    /// Bytes of the bodies of these requests.
-    body_bytes: Arc<AtomicU64>,
-    pub(crate) health: Mutex<Health>,
-    reported_load: Mutex<Option<(Timestamp, ReportedLoad)>>,
-    /// The rate limit that the endpoint names for all gateways together.
-    rate_limit: Mutex<RateLimit>,
-    /// Whether the endpoint said that it is about to stop. Never cleared in its lifetime.
-    is_leaving: AtomicBool,
-    /// End of the pause that the endpoint asked this gateway for, in microseconds.
-    paused_until_us: AtomicU64,
-}
-
-impl EndpointEntry {
-    pub(crate) fn health(&self) -> MutexGuard<'_, Health> {
-        self.health.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    pub(crate) fn cold(&self) -> MutexGuard<'_, ColdStart> {
-        self.cold.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Records that the endpoint wants no further requests. Returns whether that was unknown.
-    pub(crate) fn set_leaving(&self) -> bool {
-        !self.is_leaving.swap(true, Ordering::Relaxed)
-    }
-
-    pub(crate) fn is_leaving(&self) -> bool {
-        self.is_leaving.load(Ordering::Relaxed)
-    }
-
-    /// Records that the endpoint wants no requests of this gateway until a time. Responses overtake
-    /// each other, so the latest time holds.
-    pub(crate) fn pause_until(&self, until: Timestamp) {
-        self.paused_until_us
-            .fetch_max(until.as_micros(), Ordering::Relaxed);
-    }
-
-    /// End of the pause that the endpoint asked this gateway for.
-    pub(crate) fn paused_until(&self) -> Timestamp {
-        Timestamp(self.paused_until_us.load(Ordering::Relaxed))
-    }
-
-    /// Whether both entries mean the same process in the same role.
-    pub(crate) fn is_same_process(&self, other: &Self) -> bool {
-        is_same_lifetime(&self.listed, &other.listed) && self.listed.role == other.listed.role
-    }
-
-    /// Whether the endpoint takes requests of this gateway, whatever its rate limit.
-    pub(crate) fn accepts_requests(&self, now: Timestamp) -> bool {
-        !self.is_leaving() && now >= self.paused_until()
-    }
-
-    /// Bytes of the bodies of this gateway's requests in flight at the endpoint.
-    pub(crate) fn held_bodies(&self) -> ByteSize {
-        ByteSize(self.body_bytes.load(Ordering::Relaxed))
-    }
-
-    pub(crate) fn rate_limit(&self) -> MutexGuard<'_, RateLimit> {
-        self.rate_limit
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
-    pub(crate) fn set_reported_load(&self, now: Timestamp, load: ReportedLoad) {
-        *self
-            .reported_load
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = Some((now, load));
-    }
-
-    pub(crate) fn reported_load(&self) -> Option<(Timestamp, ReportedLoad)> {
-        *self
-            .reported_load
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-/// Counts a request and its body as in flight at an endpoint until dropped.
-pub(crate) struct InFlightGuard {
-    endpoint: Arc<EndpointEntry>,
-    body: ByteSize,
-}
-
-impl InFlightGuard {
-    pub(crate) fn new(endpoint: &Arc<EndpointEntry>, body: ByteSize) -> Self {
-        endpoint.in_flight.fetch_add(1, Ordering::Relaxed);
-        endpoint.body_bytes.fetch_add(body.0, Ordering::Relaxed);
-        Self {
-            endpoint: Arc::clone(endpoint),
-            body,
-        }
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        let endpoint = &self.endpoint;
-        endpoint.in_flight.fetch_sub(1, Ordering::Relaxed);
-        endpoint
-            .body_bytes
-            .fetch_sub(self.body.0, Ordering::Relaxed);
-    }
-}
-
 impl Directory {
     pub(crate) fn new(format: Arc<dyn DocumentFormat>, sockets: Arc<EndpointSockets>) -> Self {
         Self {
@@ -517,60 +396,3 @@
             .map_or(&[], Vec::as_slice)
     }
 }
-
-impl EndpointEntry {
-    /// Whether the entry equals a listed endpoint, including its remaining warm-up time.
-    fn is_unchanged(&self, now: Timestamp, listed: &ListedEndpoint) -> bool {
-        let with_same_cold_time = ListedEndpoint {
-            cold_remaining: self.listed.cold_remaining,
-            ..listed.clone()
-        };
-        let is_cold_time_equal = self.cold().until().since(now) == listed.cold_remaining;
-        is_cold_time_equal && self.listed == with_same_cold_time
-    }
-
-    fn new(
-        now: Timestamp,
-        listed: &ListedEndpoint,
-        current: Option<&Self>,
-        sockets: &Arc<EndpointSockets>,
-    ) -> Self {
-        info!(
-            "endpoint={} service={} address={} role={:?} state={:?} cold_ms={}",
-            listed.id,
-            listed.service,
-            listed.address,
-            listed.role,
-            listed.state,
-            listed.cold_remaining.as_millis()
-        );
-        let previous = current.filter(|current| is_same_lifetime(&current.listed, listed));
-        let mut cold = previous
-            .map(|previous| *previous.cold())
-            .unwrap_or_default();
-        cold.set_until(now, now + listed.cold_remaining);
-        Self {
-            listed: listed.clone(),
-            cold: Mutex::new(cold),
-            pool: previous.map_or_else(
-                || Pool::new(listed.address, Arc::clone(sockets)),
-                |previous| previous.pool.clone(),
-            ),
-            in_flight: previous
-                .map_or_else(Arc::default, |previous| Arc::clone(&previous.in_flight)),
-            body_bytes: previous
-                .map_or_else(Arc::default, |previous| Arc::clone(&previous.body_bytes)),
-            health: Mutex::new(
-                previous.map_or_else(Health::default, |previous| previous.health().clone()),
-            ),
-            reported_load: Mutex::new(previous.and_then(Self::reported_load)),
-            rate_limit: Mutex::new(
-                previous.map_or_else(RateLimit::default, |previous| *previous.rate_limit()),
-            ),
-            is_leaving: AtomicBool::new(previous.is_some_and(|previous| previous.is_leaving())),
-            paused_until_us: AtomicU64::new(
-                previous.map_or(0, |previous| previous.paused_until().as_micros()),
-            ),
-        }
-    }
-}
--- a/crates/mimosa-gateway/src/rollout.rs
+++ b/crates/mimosa-gateway/src/rollout.rs
@@ -8,7 +8,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -298,9 +297,7 @@
             let (new, old): (Vec<_>, Vec<_>) = endpoints.of_service(service).partition(is_new);
             let in_flight = |endpoints: Vec<&Arc<EndpointEntry>>| {
                 let endpoints = endpoints.iter();
-                endpoints
-                    .map(|each| each.in_flight.load(Ordering::Relaxed))
-                    .sum()
+                endpoints.map(|each| each.in_flight()).sum()
             };
             Some(RolloutReport {
                 in_flight_new: in_flight(new),
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -229,7 +229,7 @@
         .reported_load()
         .filter(|(at, _)| now.since(*at) < REPORTED_LOAD_TTL)
         .map(|(_, load)| u64::from(load.running) + u64::from(load.waiting));
-    let own_load = u64::from(endpoint.in_flight.load(Ordering::Relaxed));
+    let own_load = u64::from(endpoint.in_flight());
     let is_prefill = endpoint.listed.role == EndpointRole::Prefill;
     let current_permille = shared.speeds.current_permille(now, endpoint);
     let latency = health
