--- a/crates/mimosa-gateway/src/model.rs
+++ b/crates/mimosa-gateway/src/model.rs
@@ -254,7 +254,8 @@
     let remaining = attempts.remaining;
     attempts.remaining = remaining.saturating_sub(1);
     attempts.tried.push(Arc::clone(&decode));
-    match upstream::call(shared, request, client_request, &decode, step, time_left).await {
+    let call = (request, client_request);
+    match upstream::call(shared, call, &decode, step, time_left, None).await {
         Ok(response) => {
             if let Some(lease) = attempts.kv_cache.take() {
                 lease.consume();
@@ -583,7 +584,7 @@
     endpoint: &Arc<EndpointEntry>,
     patience: Patience,
 ) -> Result<KvCacheLease, CallFailure> {
-    let upstream_response = upstream::call_with_patience(
+    let upstream_response = upstream::call(
         shared,
         (request, client_request),
         endpoint,
--- a/crates/mimosa-gateway/src/plain.rs
+++ b/crates/mimosa-gateway/src/plain.rs
@@ -365,7 +365,7 @@
 ) -> Result<Response<Body>, CallFailure> {
     let tracked = TrackedRun::new(request, client_request);
     let sent = shared.now();
-    let upstream_response = upstream::call_with_patience(
+    let upstream_response = upstream::call(
         shared,
         (request, client_request),
         &endpoint,
--- a/crates/mimosa-gateway/src/upstream.rs
+++ b/crates/mimosa-gateway/src/upstream.rs
@@ -259,21 +259,9 @@
     pub(crate) exceeded: oneshot::Sender<()>,
 }
 
-/// Sends a request to an endpoint and waits up to `time_limit` for the response head.
+/// Sends a request to an endpoint and waits up to `time_limit` for the response head. Reports one that takes
+/// longer than the caller's patience.
 pub(crate) async fn call(
-    shared: &Shared,
-    request: &IdentifiedRequest,
-    client_request: &ClientRequest,
-    endpoint: &Arc<EndpointEntry>,
-    step: Step,
-    time_limit: Duration,
-) -> Result<UpstreamResponse, CallFailure> {
-    let call = (request, client_request);
-    call_with_patience(shared, call, endpoint, step, time_limit, None).await
-}
-
-/// The same, and reports a response head that takes longer than the caller's patience.
-pub(crate) async fn call_with_patience(
     shared: &Shared,
     (request, client_request): (&IdentifiedRequest, &ClientRequest),
     endpoint: &Arc<EndpointEntry>,
