Forward no partial event of a stream that another one has ended

Callers would have seen: half an event before the regular end of a stream (ORDER), if its endpoint stalled inside the event and the second endpoint had nothing left to send.

Cause: the end of the second stream forwarded what was left of the first.

Change: what is left is that of the second stream.

--- a/crates/mimosa-gateway/src/resume.rs
+++ b/crates/mimosa-gateway/src/resume.rs
@@ -313,8 +313,11 @@
                 "an event is too large"
             }
             Poll::Ready(Some(Err(_))) => "the second stream was cut off",
-            // Nothing was left after the last event of the first stream.
-            Poll::Ready(None) => return Poll::Ready(Some(self.end())),
+            // Nothing was left after the last event of the first stream, whose partial event is void.
+            Poll::Ready(None) => {
+                self.events = std::mem::take(&mut begun.events);
+                return Poll::Ready(Some(self.end()));
+            }
             Poll::Pending => {
                 ready!(begun.overlap_timer.as_mut().poll(cx));
                 "the second stream sent no event in time"
